--- /dev/null
+++ b/tidebend/bookkeeping/machines.py
@@ -0,0 +1,139 @@
+"""Machines of our own blocks, as their workers report them."""
+
+from __future__ import annotations
+
+import threading
+import time
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from tidebend.protocol import Command, Report, TaskReport
+
+
+@dataclass
+class Machine:
+    """Guarded by the fleet's lock."""
+
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    address: tuple[str, int] | None = None
+    session: int = 0
+    sequence: int = 0
+    token: int = 0
+    notice_at: float | None = None  # steady time at which the cloud takes it
+    heard: float = 0.0  # steady time of the last report
+    first_heard: float = 0.0
+    tasks: dict[tuple[str, int, int], TaskReport] = field(default_factory=dict)
+    # when each task was first reported as running; (job, index, attempt) -> steady time
+    running_since: dict[tuple[str, int, int], float] = field(default_factory=dict)
+    # starts sent: (job, index, attempt) -> (session, sequence) of the report that they answered
+    sent: dict[tuple[str, int, int], tuple[int, int]] = field(default_factory=dict)
+    # what we want stopped, and with how much grace
+    stops: dict[tuple[str, int, int], float] = field(default_factory=dict)
+    images: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    failures: dict[str, float] = field(default_factory=dict)  # job -> steady time of its last failure here
+    draining: bool = False
+    idle_since: float | None = None
+    releasing: bool = False
+
+    def hears(self, report: Report, now: float) -> bool:
+        """Take a report over; False if it is older than one that we have."""
+        if (report.session, report.sequence) <= (self.session, self.sequence):
+            return False
+        if report.session != self.session:
+            self.sent.clear()
+            self.stops.clear()
+            self.running_since.clear()
+        self.session, self.sequence, self.token = report.session, report.sequence, report.token
+        self.address = report.address or self.address
+        self.notice_at = None if report.notice_s is None else now + report.notice_s
+        self.heard = now
+        self.tasks = {(task.job, task.index, task.attempt): task for task in report.tasks}
+        for key, task in self.tasks.items():
+            if task.state == "running":
+                self.running_since.setdefault(key, now)
+        for table in (self.running_since, self.stops):
+            for key in [key for key in table if key not in self.tasks and key not in self.sent]:
+                del table[key]
+        return True
+
+    def uses_image(self, image: str, gb: float, cache_gb: float) -> None:
+        self.images[image] = gb
+        self.images.move_to_end(image)
+        while len(self.images) > 1 and sum(self.images.values()) > cache_gb:
+            self.images.popitem(last=False)
+
+
+class Fleet:
+    def __init__(self) -> None:
+        self.lock = threading.RLock()
+        self.machines: dict[str, Machine] = {}
+        self.gone: OrderedDict[str, float] = OrderedDict()  # released: name -> steady time
+
+    def heard(self, report: Report) -> Machine | None:
+        """None for a machine that was released, and for a late report."""
+        now = time.monotonic()
+        with self.lock:
+            if report.machine in self.gone:
+                return None
+            machine = self.machines.get(report.machine)
+            if machine is None:
+                machine = Machine(report.machine, report.type, report.zone, report.spot, first_heard=now)
+                self.machines[report.machine] = machine
+            return machine if machine.hears(report, now) else None
+
+    def released(self, names: list[str]) -> None:
+        with self.lock:
+            for name in names:
+                self.machines.pop(name, None)
+                self.gone[name] = time.monotonic()
+            while len(self.gone) > 2000:
+                self.gone.popitem(last=False)
+
+    def drop(self, names: list[str]) -> None:
+        with self.lock:
+            for name in names:
+                self.machines.pop(name, None)
+
+    def all(self) -> list[Machine]:
+        with self.lock:
+            return list(self.machines.values())
+
+
+def orders(machine: Machine, claims: list, token: int) -> list[Command]:
+    """Commands for a worker's report, from the recorded claims; called under the fleet's lock.
+
+    `claims` holds (job, claim) pairs on this machine, read after the report came. Every start is repeated until
+    the task is seen: a claim that is still recorded was never cleared, so the worker runs the attempt only once.
+    """
+    commands = []
+    claimed = set()
+    for job, claim in claims:
+        if claim.session != machine.session:
+            continue
+        tasks, index = claim.tasks, 0
+        while tasks:
+            skip = (tasks & -tasks).bit_length()
+            index += skip - 1
+            tasks >>= skip
+            key = (job.id, index, claim.attempt)
+            claimed.add(key)
+            task = machine.tasks.get(key)
+            if task is None:
+                if not job.cancelled and not machine.releasing and key not in machine.stops:
+                    machine.sent[key] = (machine.session, machine.sequence)
+                    commands.append(Command("start", *key))
+            elif task.state != "ended":
+                grace = 0.0 if job.cancelled else machine.stops.get(key)
+                if grace is not None and not (task.state == "saving" and grace > 0):
+                    commands.append(Command("stop", *key, grace))
+            index += 1
+    for key, task in machine.tasks.items():
+        if key not in claimed:
+            # no claim: its end is recorded, or it never had one; in neither case is it of use to anybody
+            commands.append(Command("forget" if task.state == "ended" else "stop", *key))
+            if task.state == "ended":
+                machine.sent.pop(key, None)
+    return commands
--- /dev/null
+++ b/tidebend/cli.py
@@ -0,0 +1,49 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import os
+import sys
+
+from tidebend import __version__
+from tidebend.settings import SettingsError, load_settings
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def parser() -> argparse.ArgumentParser:
+    top = argparse.ArgumentParser(
+        prog="tidebend",
+        description="One controller of a tidebend cluster. Without a command it runs until it is killed.",
+        epilog="LOG_LEVEL in the environment (error, info, debug) says how much is logged to standard error.",
+    )
+    top.add_argument("command", nargs="?", choices=["run", "check-config"], default="run",
+                     help="run the controller (default), or only check the settings")
+    top.add_argument("--config", metavar="FILE", required=True, help="the platform's settings file (TOML)")
+    top.add_argument("--knobs", metavar="FILE",
+                     help="the operators' own settings (HCL); the defaults hold without it")
+    top.add_argument("--version", action="version", version=f"tidebend {__version__}")
+    return top
+
+
+def main(argv: list[str] | None = None) -> int:
+    arguments = parser().parse_args(argv)
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO),
+        format="%(levelname)s %(name)s: %(message)s",
+    )
+    try:
+        settings = load_settings(arguments.config, arguments.knobs)
+    except SettingsError as error:
+        print(f"tidebend: {error}", file=sys.stderr)
+        return 2
+    if arguments.command == "check-config":
+        print(f"{arguments.config}: fine for {settings.name} of {len(settings.peers) + 1} controllers")
+        return 0
+    from tidebend.service import run  # the rest is imported only when it is needed
+
+    run(settings)
+    return 0
--- /dev/null
+++ b/tidebend/coordination/__init__.py
@@ -0,0 +1,334 @@
+"""Membership, leadership, blocks and their tokens, and what controllers tell each other."""
+
+from __future__ import annotations
+
+import logging
+import random
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from tidebend.settings import Peer, Settings
+from tidebend.storage import LIVE, Conflict, Mirror, NoSuchLease, StateClient, Unavailable, Unknown
+from tidebend.transport import FrameServer, send_frame
+
+log = logging.getLogger("coordination")
+
+LEADER = LIVE + "leader"
+NODE = LIVE + "node/"
+BLOCK = LIVE + "block/"
+
+FAILURES = (Conflict, NoSuchLease, Unavailable, Unknown)
+
+
+def block_of(zone: str) -> str:
+    """The block a machine belongs to: a pure function of its zone (and, were zones larger, of its name)."""
+    return f"{zone}.0"
+
+
+def zone_of(block: str) -> str:
+    return block.rpartition(".")[0]
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """A block that is ours: the token is the revision of the granting transaction."""
+
+    block: str
+    token: int
+    since: float  # steady time from which we act on it
+
+
+class Coordinator:
+    """Keeps our lease, leads if it falls to us, and knows which blocks are ours."""
+
+    def __init__(self, settings: Settings, state: StateClient, mirror: Mirror) -> None:
+        self.settings = settings
+        self.state = state
+        self.mirror = mirror
+        self.lease: int | None = None
+        self.lease_until = -1e9
+        self._lease_s = settings.controller_lease_s
+        self._held: dict[str, Grant] = {}
+        self._outbid: dict[str, tuple[int, str]] = {}  # block -> (token, holder) as peers tell it
+        self._lock = threading.Lock()
+        self._unfit_until = 0.0
+        self._nodes_since: dict[str, float] = {}
+        self._block_missing: dict[str, float] = {}
+        self.wake = threading.Event()
+
+    # Our lease
+
+    def start(self) -> None:
+        threading.Thread(target=self._keep, name="lease", daemon=True).start()
+        threading.Thread(target=self._blocks, name="blocks", daemon=True).start()
+
+    def _keep(self) -> None:
+        pause = self._lease_s / 4.0
+        while True:
+            began = time.monotonic()
+            try:
+                if self.lease is None or not self.state.extend_lease(self.lease):
+                    if self.lease is not None:
+                        log.info("lease %s has ended", self.lease)
+                    self.lease = self.state.grant_lease(self._lease_s)
+                    self._announce()
+                # drift: clocks may run fast by 0.05%, so a lease is trusted a little less long
+                self.lease_until = began + self._lease_s * 0.999
+            except NoSuchLease:
+                self.lease = None
+            except FAILURES as error:
+                log.info("lease: %s", error)
+                time.sleep(random.uniform(0.3, 0.7) * pause)
+                continue
+            time.sleep(max(0.0, pause - (time.monotonic() - began)))
+
+    def _announce(self) -> None:
+        value = {"lease": self.lease, "zone": self.settings.zone, "unfit": int(self.unfit)}
+        self.state.transact({}, [(NODE + self.settings.name, value, self.lease)], "lease")
+
+    @property
+    def lease_valid(self) -> bool:
+        return time.monotonic() < self.lease_until
+
+    @property
+    def unfit(self) -> bool:
+        return time.monotonic() < self._unfit_until
+
+    def set_unfit(self, seconds: float) -> None:
+        """We hear none of our machines: somebody else should hold their blocks for a while."""
+        self._unfit_until = time.monotonic() + seconds
+        try:
+            self._announce()
+        except FAILURES as error:
+            log.info("unfit: %s", error)
+
+    # Blocks
+
+    def holder(self, block: str) -> str | None:
+        value, version = self.mirror.get(BLOCK + block)
+        with self._lock:
+            outbid = self._outbid.get(block)
+        if outbid and outbid[0] > version:
+            return outbid[1]
+        return value["holder"] if value else None
+
+    def grant(self, block: str) -> Grant | None:
+        """Ours to act on; None once a peer has told us of a higher token."""
+        with self._lock:
+            grant = self._held.get(block)
+            outbid = self._outbid.get(block)
+        if grant is None or (outbid and outbid[0] > grant.token):
+            return None
+        return grant
+
+    def grants(self) -> list[Grant]:
+        with self._lock:
+            blocks = list(self._held)
+        return [grant for grant in map(self.grant, blocks) if grant is not None]
+
+    def condition(self, grant: Grant) -> tuple[str, int]:
+        return BLOCK + grant.block, grant.token
+
+    def deposed(self, block: str, token: int) -> None:
+        """A worker has seen a higher token than ours."""
+        with self._lock:
+            grant = self._held.get(block)
+            if grant is not None and token > grant.token:
+                del self._held[block]
+                log.info("block %s: token %s is above ours, %s", block, token, grant.token)
+
+    def table(self) -> dict[str, tuple[int, str]]:
+        return {key[len(BLOCK):]: (version, value["holder"])
+                for key, (value, version) in self.mirror.under(BLOCK).items()}
+
+    def told(self, table: dict[str, Any]) -> None:
+        with self._lock:
+            for block, (token, holder) in table.items():
+                if token > self._outbid.get(block, (0, ""))[0]:
+                    self._outbid[block] = (token, holder)
+
+    def _blocks(self) -> None:
+        while True:
+            self.wake.wait(self._lease_s / 10.0)
+            self.wake.clear()
+            if not self.mirror.loaded.is_set():
+                continue
+            try:
+                self._take_up()
+                self._lead()
+            except FAILURES as error:
+                log.info("blocks: %s", error)
+                time.sleep(random.uniform(0.02, 0.1) * self._lease_s)
+
+    def _take_up(self) -> None:
+        """Notice grants and losses; after a restart, take our own blocks back at once."""
+        fresh = {}
+        lost = []
+        for key, (value, version) in self.mirror.under(BLOCK).items():
+            block = key[len(BLOCK):]
+            if value["holder"] != self.settings.name:
+                continue
+            if value["lease"] != self.lease:
+                if self.lease is not None and self.lease_valid:
+                    self._put_block(block, version, self.settings.name, self.lease)
+                continue
+            with self._lock:
+                held = self._held.get(block)
+            if held is None or held.token < version:
+                fresh[block] = version
+        current = self.mirror.under(BLOCK)
+        with self._lock:
+            for block, grant in list(self._held.items()):
+                value, version = current.get(BLOCK + block, (None, 0))
+                if value is None or version > grant.token and value["holder"] != self.settings.name:
+                    lost.append(block)
+                    del self._held[block]
+        for block in lost:
+            log.info("block %s is no longer ours", block)
+        # Claims that were recorded before the grant must be known before the first answer: our own transactions
+        # reach the cache ahead of others' earlier ones.
+        if fresh and self.mirror.barrier(self.state.timeout):
+            with self._lock:
+                for block, token in fresh.items():
+                    self._held[block] = Grant(block, token, time.monotonic())
+                    log.info("block %s is ours with token %s", block, token)
+
+    def _put_block(self, block: str, version: int, holder: str, lease: int) -> None:
+        value = {"holder": holder, "lease": lease}
+        key = BLOCK + block
+        try:
+            revision = self.state.transact({key: version}, [(key, value, lease)], "lease")
+            self.mirror.apply([(key, value, revision)])
+            self.wake.set()
+        except NoSuchLease:
+            log.debug("block %s: %s has no lease any more", block, holder)
+
+    # Leading
+
+    @property
+    def term(self) -> int | None:
+        """The revision of our election while we lead."""
+        value, version = self.mirror.get(LEADER)
+        if value is None or value["node"] != self.settings.name or value["lease"] != self.lease:
+            return None
+        return version if self.lease_valid else None
+
+    def _lead(self) -> None:
+        value, version = self.mirror.get(LEADER)
+        if value is None or (value["node"] == self.settings.name and value["lease"] != self.lease):
+            if self.lease is None or not self.lease_valid or self.unfit:
+                return
+            if value is None:
+                time.sleep(random.uniform(0, 0.05) * self._lease_s)
+            value = {"node": self.settings.name, "lease": self.lease}
+            try:
+                revision = self.state.transact({LEADER: version}, [(LEADER, value, self.lease)], "lease")
+            except Conflict:
+                self.mirror.barrier(self.state.timeout)
+                return
+            self.mirror.apply([(LEADER, value, revision)])
+            log.info("leader from revision %s on", revision)
+        if self.term is not None:
+            self._share_out()
+
+    def _share_out(self) -> None:
+        now = time.monotonic()
+        nodes = {key[len(NODE):]: value for key, (value, _) in self.mirror.under(NODE).items()}
+        self._nodes_since = {name: self._nodes_since.get(name, now) for name in nodes}
+        blocks = self.mirror.under(BLOCK)
+        held = dict.fromkeys(nodes, 0)
+        for value, _ in blocks.values():
+            if value["holder"] in held:
+                held[value["holder"]] += 1
+        every = {block_of(zone) for zone in self.settings.zones}
+        every |= {key[len(BLOCK):] for key in blocks}
+        for block in sorted(every):
+            value, version = blocks.get(BLOCK + block, (None, 0))
+            holder = value["holder"] if value else None
+            zone = zone_of(block)
+
+            def rank(name: str, zone: str = zone) -> tuple:
+                return (bool(nodes[name].get("unfit")), held[name] - (nodes[name]["zone"] == zone) * 0.5, name)
+
+            if not nodes:
+                return
+            best = min(nodes, key=rank)
+            if holder is None:
+                # an own block whose lease just ended may be coming back; a holder that is gone is replaced at once
+                self._give(block, version, best, nodes, held, None)
+            elif holder != best and holder in nodes:
+                settled = now - self._nodes_since[best] > self._lease_s
+                unfit = nodes[holder].get("unfit") and not nodes[best].get("unfit")
+                uneven = held[holder] - held[best] >= 2 and not nodes[best].get("unfit")
+                home = (nodes[best]["zone"] == zone != nodes[holder]["zone"] and held[holder] > held[best]
+                        and not nodes[best].get("unfit"))
+                if unfit or (settled and (uneven or home)):
+                    self._give(block, version, best, nodes, held, holder)
+
+    def _give(self, block: str, version: int, name: str, nodes: dict[str, Any], held: dict[str, int],
+              before: str | None) -> None:
+        self._put_block(block, version, name, nodes[name]["lease"])
+        held[name] += 1
+        if before is not None:
+            held[before] -= 1
+        log.info("block %s goes to %s", block, name)
+
+
+@dataclass
+class PeerNews:
+    """What a peer told us last."""
+
+    at: float = -1e9
+    state_contact: float = -1e9  # time of day of its last contact with the state service
+    machines: list[list[Any]] | None = None
+
+
+class PeerLink:
+    """One-way frames to each peer, about once a report interval, with what we know of blocks and machines."""
+
+    def __init__(self, settings: Settings, news: Callable[[], dict[str, Any]],
+                 told: Callable[[dict[str, Any]], None]) -> None:
+        self.settings = settings
+        self._news = news
+        self._told = told
+        self.pause = min(1.0, settings.report_s / 2.0)
+        self.peers: dict[str, PeerNews] = {peer.name: PeerNews() for peer in settings.peers}
+
+    def start(self) -> None:
+        server = FrameServer(self.settings.peer_listen, self._receive, 10.0 * self.pause)
+        threading.Thread(target=server.serve_forever, name="peers", daemon=True).start()
+        for peer in self.settings.peers:
+            threading.Thread(target=self._send, args=(peer,), name=f"to-{peer.name}", daemon=True).start()
+
+    def _receive(self, frame: Any) -> None:
+        if not isinstance(frame, dict):
+            return
+        news = self.peers.get(frame.get("from", ""))
+        if news is None:
+            return
+        try:
+            news.state_contact = float(frame["state_contact"])
+            news.machines = list(frame["machines"])
+            news.at = time.monotonic()
+            self._told(frame["blocks"])
+        except (KeyError, TypeError, ValueError) as error:
+            log.error("peer frame: %r", error)
+
+    def _send(self, peer: Peer) -> None:
+        stream: socket.socket | None = None
+        while True:
+            try:
+                if stream is None:
+                    stream = socket.create_connection(peer.address, timeout=2.0 * self.pause)
+                    stream.settimeout(2.0 * self.pause)
+                send_frame(stream, self._news())
+            except OSError as error:
+                log.debug("peer %s: %s", peer.name, error)
+                if stream is not None:
+                    stream.close()
+                    stream = None
+            time.sleep(self.pause * random.uniform(0.8, 1.2))
--- /dev/null
+++ b/tidebend/provisioning/__init__.py
@@ -0,0 +1,110 @@
+"""What to rent: pure functions of the waiting work and the machines at hand, booting ones included."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+
+from tidebend.protocol import MachineType
+from tidebend.scheduling import Amount, Want, need_of, times_fit
+
+
+@dataclass(slots=True)
+class Capacity:
+    """A machine at hand or on its way: its free amounts now, and what its tasks give back and when."""
+
+    type: MachineType
+    zone: str
+    spot: bool
+    free: Amount
+    ready_in: float = 0.0
+    returns: list[tuple[float, Amount]] = field(default_factory=list)
+
+    def room_by(self, seconds: float) -> Amount:
+        free = self.free
+        for when, amount in self.returns:
+            if when <= seconds:
+                free = (free[0] + amount[0], free[1] + amount[1], free[2] + amount[2])
+        return free
+
+    def take(self, amount: Amount, tasks: int) -> None:
+        self.free = tuple(have - part * tasks for have, part in zip(self.free, amount, strict=True))
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    type: MachineType
+    zone: str
+    spot: bool
+
+    @property
+    def price(self) -> float:
+        return self.type.spot_price if self.spot else self.type.price
+
+
+@dataclass(frozen=True, slots=True)
+class Rental:
+    offer: Offer
+    machines: int
+
+
+def _side_by_side(want: Want, now: float, boot_s: float) -> int:
+    """How many of the waiting tasks must run at a time for the job to make its soft deadline."""
+    if want.service or want.spec.kind == "gang":
+        return want.waiting
+    left = want.value.soft - now - boot_s
+    turns = max(1, math.floor(left / max(want.estimate, 0.1)))
+    return math.ceil(want.waiting / turns)
+
+
+def to_rent(wants: list[Want], capacities: list[Capacity], offers: list[Offer], now: float,
+            rank: dict[str, int]) -> list[Rental]:
+    """Machines for the waiting work that those at hand can't serve in time, by cost for each task.
+
+    `offers` leaves out what the cloud lately had none of; `rank` spreads rentals over the zones (fewest first).
+    """
+    counts: dict[Offer, int] = {}
+    order = sorted(wants, key=lambda want: (not want.service, -want.value.start, want.value.soft, want.job))
+    for want in order:
+        need = need_of(want.spec)
+        allowed = [offer for offer in offers if offer.type.fits(want.spec) and (want.spec.spot or not offer.spot)
+                   and offer.zone in offer.type.zones and want.spec.zone in (None, offer.zone)
+                   and want.zone_room(offer.zone) > 0]
+        boot_s = min((offer.type.boot_s for offer in allowed), default=0.0)
+        missing = min(_side_by_side(want, now, 0.0), want.headroom, want.waiting)
+        slack = max(0.0, want.value.soft - now - want.estimate) if not want.service else 0.0
+        for capacity in capacities:
+            if missing <= 0:
+                break
+            if not capacity.type.fits(want.spec) or (capacity.spot and not want.spec.spot):
+                continue
+            if want.spec.zone not in (None, capacity.zone):
+                continue
+            # what becomes free before the tasks must begin at the latest, or before a new machine could be up
+            room = capacity.room_by(max(slack, boot_s if not want.service else 0.0))
+            tasks = min(missing, times_fit(room, need), want.zone_room(capacity.zone))
+            if tasks > 0:
+                capacity.take(need, tasks)
+                want.zones[capacity.zone] = want.zones.get(capacity.zone, 0) + tasks
+                missing -= tasks
+        while missing > 0:
+            best = None
+            for offer in allowed:
+                whole = (offer.type.cpus, offer.type.gpus, offer.type.memory_gb)
+                tasks = min(missing, times_fit(whole, need), want.zone_room(offer.zone))
+                if tasks < 1:
+                    continue
+                key = (offer.price / tasks, rank.get(offer.zone, 0) + counts.get(offer, 0), offer.type.boot_s,
+                       offer.type.name, offer.zone)
+                if best is None or key < best[0]:
+                    best = (key, offer, tasks, whole)
+            if best is None:
+                break
+            _, offer, tasks, whole = best
+            counts[offer] = counts.get(offer, 0) + 1
+            capacity = Capacity(offer.type, offer.zone, offer.spot, whole, offer.type.boot_s)
+            capacity.take(need, tasks)
+            capacities.append(capacity)
+            want.zones[offer.zone] = want.zones.get(offer.zone, 0) + tasks
+            missing -= tasks
+    return [Rental(offer, machines) for offer, machines in counts.items()]
--- /dev/null
+++ b/tidebend/service/planner.py
@@ -0,0 +1,430 @@
+"""The mapping events of a holder: ends are recorded, waiting tasks are claimed, room is made for what may preempt."""
+
+from __future__ import annotations
+
+import logging
+import math
+import threading
+import time
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from tidebend.bookkeeping.jobs import Claim, Job, JobBook, Usage
+from tidebend.bookkeeping.machines import Fleet, Machine
+from tidebend.bookkeeping.tasksets import lowest, members
+from tidebend.coordination import Coordinator, Grant, block_of
+from tidebend.protocol import PRIORITIES, JobSpec, MachineType
+from tidebend.scheduling import (
+    Place,
+    Placement,
+    Timeline,
+    Want,
+    is_reserved,
+    map_tasks,
+    need_of,
+    times_fit,
+    value_of,
+)
+from tidebend.service.ledger import Ledger
+from tidebend.settings import Settings
+from tidebend.storage import Unavailable, Unknown
+
+log = logging.getLogger("planner")
+
+Key = tuple[str, int, int]  # job, index, attempt
+
+
+class Estimates:
+    """Owners' estimates corrected per class by what finished tasks took (a moving geometric mean)."""
+
+    WEIGHT = 0.15
+
+    def __init__(self) -> None:
+        self._factor: dict[str, float] = {}
+        self._lock = threading.Lock()
+
+    def observe(self, job_class: str, estimate: float, took: float) -> None:
+        if estimate <= 0 or took <= 0:
+            return
+        ratio = min(8.0, max(0.125, took / estimate))
+        with self._lock:
+            old = self._factor.get(job_class, 1.0)
+            self._factor[job_class] = old * (ratio / old) ** self.WEIGHT
+
+    def corrected(self, spec: JobSpec) -> float:
+        with self._lock:
+            return spec.estimate_s * self._factor.get(spec.job_class, 1.0)
+
+
+@dataclass
+class Setback:
+    """A job's failures: it is tried again with growing pauses."""
+
+    failures: int = 0
+    not_before: float = 0.0
+
+
+@dataclass
+class _Ends:
+    ended: dict[tuple[str, int, int], int] = field(default_factory=dict)
+    done: int = 0
+    grants: set[Grant] = field(default_factory=set)
+
+
+class Planner:
+    def __init__(self, settings: Settings, coordinator: Coordinator, book: JobBook, fleet: Fleet, ledger: Ledger,
+                 types: Callable[[], dict[str, MachineType]]) -> None:
+        self.settings = settings
+        self.coordinator = coordinator
+        self.book = book
+        self.fleet = fleet
+        self.ledger = ledger
+        self.types = types
+        self.estimates = Estimates()
+        self.setbacks: dict[str, Setback] = {}
+        self.event = threading.Event()
+        self._waiting_since: dict[str, tuple[int, float]] = {}  # job -> (pending bitmap, steady time)
+        # a service without an estimate counts as long as a worker's lease when values are compared
+        self.nominal_s = settings.lease_s
+        self.suspect_s = max(2.2 * settings.report_s, settings.lease_s * settings.knobs.suspect_after)
+        self.turn_s = 0.1 * settings.report_s
+
+    def start(self) -> None:
+        threading.Thread(target=self._run, name="planner", daemon=True).start()
+
+    def wake(self) -> None:
+        self.event.set()
+
+    def _run(self) -> None:
+        pause = min(0.25, 0.1 * self.settings.report_s)
+        while True:
+            self.event.wait(2 * pause)
+            self.event.clear()
+            try:
+                self.settle()
+                self.plan()
+            except (Unavailable, Unknown) as error:
+                log.info("planner: %s", error)
+                time.sleep(pause)
+            except Exception:
+                log.exception("planner")
+                time.sleep(1.0)
+            time.sleep(pause)
+
+    # Ends
+
+    def settle(self) -> None:
+        """Record ends that are proven by the reports of workers who have confirmed our token."""
+        ends: dict[str, _Ends] = {}
+        for grant in self.coordinator.grants():
+            for machine in self.fleet.all():
+                if block_of(machine.zone) == grant.block:
+                    self._ends_on(machine, grant, ends)
+        for job in self.book.live():
+            if not job.claims and (job.cancelled or job.complete):
+                ends.setdefault(job.id, _Ends())  # its final record is missing
+        for name, end in ends.items():
+            conditions = dict(self.coordinator.condition(grant) for grant in end.grants)
+            self.ledger.change(name, lambda job, _, end=end: job.without(end.ended, end.done), conditions)
+        if ends:
+            log.debug("ends recorded for %s", ", ".join(ends))
+
+    def _ends_on(self, machine: Machine, grant: Grant, ends: dict[str, _Ends]) -> None:
+        now = time.monotonic()
+        with self.fleet.lock:
+            if machine.token != grant.token or machine.first_heard <= 0:
+                return
+            for job, claim in self.book.on_machine(machine.name):
+                ended = done = 0
+                if claim.session < machine.session:
+                    ended = claim.tasks  # the worker has begun a later session: it killed and forgot them all
+                elif claim.session == machine.session:
+                    for index in members(claim.tasks):
+                        key = (job.id, index, claim.attempt)
+                        task = machine.tasks.get(key)
+                        if task is None:
+                            if self._absent(machine, job, key):
+                                ended |= 1 << index
+                        elif task.state == "ended":
+                            ended |= 1 << index
+                            if task.why == "done":
+                                done |= 1 << index
+                            self._observe(machine, job, key, task.why, now)
+                if ended:
+                    end = ends.setdefault(job.id, _Ends())
+                    place = (claim.machine, claim.session, claim.attempt)
+                    end.ended[place] = end.ended.get(place, 0) | ended
+                    if done and job.spec.kind == "gang":
+                        done = job.all_tasks  # a gang's tasks complete together
+                    end.done |= done
+                    end.grants.add(grant)
+
+    def _absent(self, machine: Machine, job: Job, key: Key) -> bool:
+        """Whether a task that isn't reported, and isn't wanted any more, can't be started either.
+
+        Our starts travel in answers to reports only; a later report shows that they weren't executed. Those of
+        earlier holders carry lower tokens than the one that the worker has confirmed.
+        """
+        if not job.cancelled and key not in machine.stops:
+            return False
+        sent = machine.sent.get(key)
+        return sent is None or (machine.session, machine.sequence) > sent
+
+    def _observe(self, machine: Machine, job: Job, key: Key, why: str | None, now: float) -> None:
+        since = machine.running_since.pop(key, None)
+        if why == "done":
+            if since is not None and job.spec.kind != "service":
+                self.estimates.observe(job.spec.job_class, job.spec.estimate_s, now - since)
+            machine.failures.clear()
+            self.setbacks.pop(job.id, None)
+        elif why == "error" and machine.failures.get(job.id, 0.0) < now - 0.01:
+            machine.failures[job.id] = now
+            setback = self.setbacks.setdefault(job.id, Setback())
+            setback.failures += 1
+            # one failure is mostly the machine's; a job that fails again and again is tried ever less often
+            setback.not_before = now + min(8.0, 0.25 * 2.0 ** (setback.failures - 1)) * self.settings.report_s
+            log.info("machine %s: %s failed", machine.name, key)
+            others = [name for name in machine.failures
+                      if name == job.id or self.setbacks.get(name, Setback()).failures < 3]
+            if len(others) >= 2 and not machine.draining:
+                machine.draining = True
+                log.info("machine %s is set aside: tasks of several jobs fail there", machine.name)
+
+    # Places
+
+    def silent(self, machine: Machine, now: float) -> bool:
+        return now - machine.heard > self.suspect_s
+
+    def _remaining(self, machine: Machine, job: Job, key: Key, kind: MachineType, now: float, clock: float,
+                   claim: Claim) -> float:
+        if job.spec.kind == "service":
+            return math.inf
+        estimate = self.estimates.corrected(job.spec)
+        since = machine.running_since.get(key)
+        if since is not None:
+            left = estimate - (now - since)
+        else:
+            fetch = 0.0 if job.spec.image in machine.images else job.spec.image_gb / max(kind.fetch_gb_per_s, 1e-6)
+            left = estimate + max(0.0, fetch - (clock - claim.at))
+        # an overrunning task is seen at each event anew, and planned around
+        return max(left, 0.1 * estimate, self.settings.report_s)
+
+    def places(self, now: float, clock: float) -> dict[str, tuple[Place, Machine, Grant]]:
+        types = self.types()
+        found = {}
+        for grant in self.coordinator.grants():
+            for machine in self.fleet.all():
+                kind = types.get(machine.type)
+                if kind is None or block_of(machine.zone) != grant.block:
+                    continue
+                with self.fleet.lock:
+                    place = self._place(machine, kind, grant, now, clock)
+                if place is not None:
+                    found[machine.name] = (place, machine, grant)
+        return found
+
+    def _place(self, machine: Machine, kind: MachineType, grant: Grant, now: float, clock: float) -> Place | None:
+        held = self.book.on_machine(machine.name)
+        if held:
+            machine.idle_since = None
+        elif machine.idle_since is None:
+            machine.idle_since = now
+        if machine.token != grant.token or machine.draining or machine.releasing or self.silent(machine, now):
+            return None
+        timeline = Timeline(now, (kind.cpus, kind.gpus, kind.memory_gb))
+        fetching = set()
+        for job, claim in held:
+            need = need_of(job.spec)
+            for index in members(claim.tasks):
+                key = (job.id, index, claim.attempt)
+                left = self._remaining(machine, job, key, kind, now, clock, claim)
+                if key in machine.stops:
+                    left = machine.stops[key] + self.settings.report_s
+                timeline.take(now, now + left, need)
+                task = machine.tasks.get(key)
+                if task is None or task.state == "fetching":
+                    fetching.add(job.spec.image)
+                else:
+                    machine.uses_image(job.spec.image, job.spec.image_gb, kind.cache_gb)
+        place = Place(machine.name, kind, machine.zone, machine.spot, timeline, set(machine.images),
+                      len(fetching))
+        if machine.notice_at is not None:
+            place.until = machine.notice_at
+        return place
+
+    # Waiting work
+
+    def want(self, job: Job, now: float, clock: float) -> Want | None:
+        pending = job.pending
+        if not pending:
+            return None
+        if job.spec.kind == "gang" and job.claims:
+            return None  # the attempt before it must be over: a gang starts whole
+        spec = job.spec
+        service = spec.kind == "service"
+        estimate = self.nominal_s if service else max(self.estimates.corrected(spec), 0.1)
+        usage = self.book.team(spec.team)
+        team = self.settings.teams.get(spec.team)
+        headroom = pending.bit_count()
+        within = False
+        if team is not None:
+            if team.cpus_max is not None and spec.cpus > 0:
+                headroom = min(headroom, int((team.cpus_max - usage.cpus + 1e-6) // spec.cpus))
+            if team.gpus_max is not None and spec.gpus > 0:
+                headroom = min(headroom, int((team.gpus_max - usage.gpus + 1e-6) // spec.gpus))
+            within = usage.cpus + spec.cpus <= team.cpus + 1e-6 and (
+                spec.gpus <= 0 or usage.gpus + spec.gpus <= team.gpus + 1e-6)
+        # the steady clock and the time of day meet here: values are of the time of day
+        value = value_of(spec, job.submitted, estimate, within)
+        setback = self.setbacks.get(job.id)
+        return Want(job.id, spec, value, estimate, pending.bit_count(), job.per_zone(), headroom,
+                    not service and is_reserved(value, clock),
+                    clock + max(0.0, setback.not_before - now) if setback else 0.0)
+
+    def _turn(self, job: Job, block: str, blocks: list[str], now: float) -> float:
+        """Seconds until this block may take a job's tasks: holders take turns, so as not to collide."""
+        pending = job.pending
+        seen = self._waiting_since.get(job.id)
+        if seen is None or seen[0] != pending:
+            seen = (pending, now if seen is None else seen[1])
+            self._waiting_since[job.id] = seen
+        order = sorted(blocks, key=lambda b: zlib.crc32(f"{job.id}/{b}".encode()))
+        return seen[1] + order.index(block) * self.turn_s - now if block in order else 0.0
+
+    def plan(self) -> None:
+        now, clock = time.monotonic(), time.time()
+        if not self.coordinator.lease_valid:
+            return
+        places = self.places(now, clock)
+        jobs = {job.id: job for job in self.book.live() if job.pending}
+        for name in [name for name in self._waiting_since if name not in jobs]:
+            del self._waiting_since[name]
+        if not places or not jobs:
+            return
+        for place, _, _ in places.values():
+            # values are of the time of day, and so are the slots
+            place.timeline.times = [time_ - now + clock for time_ in place.timeline.times]
+            place.until += clock - now
+        blocks = sorted(self.coordinator.table())
+        wants = []
+        for job in jobs.values():
+            want = self.want(job, now, clock)
+            if want is None:
+                continue
+            mine = {block_of(place.zone) for place, _, _ in places.values()}
+            turn = min((self._turn(job, block, blocks, now) for block in mine), default=0.0)
+            if turn > 0:
+                want.not_before = max(want.not_before, clock + turn)
+            wants.append(want)
+        longest = max((want.estimate for want in wants), default=0.0)
+        horizon = self.settings.knobs.horizon * longest
+        placements = map_tasks(wants, [place for place, _, _ in places.values()], clock, horizon)
+        chosen: dict[str, list[Placement]] = {}
+        for placement in placements:
+            if placement.now:
+                chosen.setdefault(placement.job, []).append(placement)
+        for name, group in chosen.items():
+            self._claim(name, group, places)
+        self._preempt([want for want in wants if want.waiting > 0], placements, places, now, clock)
+
+    def _claim(self, name: str, group: list[Placement], places: dict[str, tuple[Place, Machine, Grant]]) -> None:
+        conditions = {}
+        for placement in group:
+            key, token = self.coordinator.condition(places[placement.machine][2])
+            conditions[key] = token
+        at = time.time()
+
+        def edit(job: Job, usage: Usage) -> Job | None:
+            pending = job.pending
+            spec = job.spec
+            team = self.settings.teams.get(spec.team)
+            gang = spec.kind == "gang"
+            if gang and (job.claims or sum(p.tasks for p in group) != pending.bit_count()):
+                return None
+            want = Want(name, spec, value_of(spec, 0, 1), 1, pending.bit_count(), job.per_zone())
+            claims = []
+            for placement in group:
+                machine = places[placement.machine][1]
+                # the rules that span holders, against the very records that the transaction compares
+                count = min(placement.tasks, want.zone_room(machine.zone))
+                tasks = lowest(pending, count)
+                if not tasks:
+                    continue
+                usage = usage.plus(spec, tasks.bit_count())
+                if team is not None and not team.allows(usage.cpus, usage.gpus):
+                    break
+                want.zones[machine.zone] = want.zones.get(machine.zone, 0) + tasks.bit_count()
+                pending &= ~tasks
+                claims.append(Claim(machine.name, machine.session, job.started + 1, tasks, at, machine.zone))
+            if not claims or (gang and pending):
+                return None
+            return job.with_claims(claims)
+
+        new = self.ledger.change(name, edit, conditions)
+        if new is not None:
+            log.debug("claimed for %s: %s", name, [(p.machine, p.tasks) for p in group])
+
+    # Room for what may preempt
+
+    def _preempt(self, waiting: list[Want], placements: list[Placement],
+                 places: dict[str, tuple[Place, Machine, Grant]], now: float, clock: float) -> None:
+        """Stop what loses least, for waiting work of a higher priority that finds no room now."""
+        for want in waiting:
+            rank = PRIORITIES.index(want.spec.priority)
+            if rank == 0 or want.gang or not want.service or want.headroom < 1:
+                continue
+            seen = self._waiting_since.get(want.job)
+            blocks = len(self.coordinator.table())
+            # every holder has had its turn to place it without stopping anything
+            if seen is None or now - seen[1] < (blocks + 2) * self.turn_s or want.not_before > clock:
+                continue
+            best: tuple[float, list[tuple[Key, float]], Machine] | None = None
+            need = need_of(want.spec)
+            for place, machine, _ in places.values():
+                if not place.allowed(want.spec) or want.zone_room(place.zone) < 1 or place.until < math.inf:
+                    continue
+                if machine.stops:
+                    continue  # room is being made here already
+                cost = self._cheapest(machine, place, need, rank, now)
+                if cost is not None and (best is None or cost[0] < best[0]):
+                    best = (cost[0], cost[1], machine)
+            if best is None:
+                continue
+            lost, keys, machine = best
+            with self.fleet.lock:
+                for key, grace in keys:
+                    machine.stops[key] = grace
+            log.info("machine %s: %s make room for %s, %.0f s of work lost", machine.name,
+                     [key[:2] for key, _ in keys], want.job, lost)
+            self._waiting_since[want.job] = (self._waiting_since[want.job][0], now)
+
+    def _cheapest(self, machine: Machine, place: Place, need: tuple[float, float, float], rank: int,
+                  now: float) -> tuple[float, list[tuple[Key, float]]] | None:
+        """The stops that make room for one task on a machine, with what they lose."""
+        kind = place.type
+        free = [kind.cpus, kind.gpus, kind.memory_gb]
+        victims = []
+        for job, claim in self.book.on_machine(machine.name):
+            amount = need_of(job.spec)
+            for index in members(claim.tasks):
+                for dimension in range(3):
+                    free[dimension] -= amount[dimension]
+                if PRIORITIES.index(job.spec.priority) < rank and job.spec.kind != "service":
+                    key = (job.id, index, claim.attempt)
+                    since = machine.running_since.get(key)
+                    ran = 0.0 if since is None else now - since
+                    grace = 0.0
+                    if job.spec.checkpoint_s > 0:
+                        grace, ran = job.spec.save_s * 1.5, min(ran, job.spec.save_s)
+                    victims.append((ran * amount[0], key, grace, amount))
+        lost = 0.0
+        keys = []
+        for cost, key, grace, amount in sorted(victims):
+            if times_fit(tuple(free), need):
+                break
+            lost += cost
+            keys.append((key, grace))
+            for dimension in range(3):
+                free[dimension] += amount[dimension]
+        return (lost, keys) if keys and times_fit(tuple(free), need) else None
--- /dev/null
+++ b/tidebend/service/rentals.py
@@ -0,0 +1,347 @@
+"""Dealings with the cloud: what is listed, rented and given back."""
+
+from __future__ import annotations
+
+import logging
+import random
+import threading
+import time
+from dataclasses import dataclass
+from typing import Any
+
+from tidebend import protocol
+from tidebend.bookkeeping.jobs import JobBook
+from tidebend.bookkeeping.machines import Fleet, Machine
+from tidebend.bookkeeping.tasksets import members
+from tidebend.coordination import Coordinator, PeerLink, block_of
+from tidebend.protocol import Invalid, ListedMachine, MachineType
+from tidebend.provisioning import Capacity, Offer, to_rent
+from tidebend.scheduling import need_of
+from tidebend.service.ledger import Ledger
+from tidebend.service.planner import Planner
+from tidebend.settings import Settings
+from tidebend.storage import Unavailable, Unknown
+from tidebend.transport import Budget, HttpClient, NoAnswer, Unreachable
+
+log = logging.getLogger("rentals")
+
+# what a machine is charged at least, in seconds; the protocol says so
+LEAST_CHARGE_S = 60.0
+
+
+@dataclass
+class Rented:
+    """A machine on its way, or one that the list shows."""
+
+    type: str
+    zone: str
+    spot: bool
+    since: float  # steady time of the rental
+    listed: float = 0.0  # steady time at which the list last showed it
+
+
+class Rentals:
+    def __init__(self, settings: Settings, coordinator: Coordinator, link: PeerLink, book: JobBook, fleet: Fleet,
+                 ledger: Ledger, planner: Planner) -> None:
+        self.settings = settings
+        self.coordinator = coordinator
+        self.link = link
+        self.book = book
+        self.fleet = fleet
+        self.ledger = ledger
+        self.planner = planner
+        self.types: dict[str, MachineType] = {}
+        self._http = HttpClient(settings.cloud, keep=2)
+        # the leader rents and lists; every holder releases
+        self._budget = Budget(settings.cloud_rps)
+        self._timeout = max(2.0, settings.lease_s / 3.0)
+        self._known: dict[str, Rented] = {}
+        self._shortage: dict[Offer, float] = {}  # offer -> steady time until which it isn't asked for again
+        self._counter = 0
+        self._probed: dict[str, float] = {}
+        self._strangers: dict[str, float] = {}
+        self._lead_since: tuple[int | None, float] = (None, 0.0)
+        self.gone_news: dict[str, float] = {}
+
+    def start(self) -> None:
+        threading.Thread(target=self._guard, name="guard", daemon=True).start()
+        threading.Thread(target=self._lead, name="rentals", daemon=True).start()
+
+    def _call(self, method: str, path: str, body: Any, floor: float = 0.0) -> tuple[int, Any] | None:
+        """None if there is no usable answer."""
+        if not self._budget.take(1.0, floor):
+            return None
+        try:
+            return self._http.request(method, path, body, self._timeout)
+        except (Unreachable, NoAnswer) as error:
+            log.info("cloud: %s %s: %s", method, path, error)
+            return None
+
+    # Every holder: machines that are silent, idle, set aside or about to be taken
+
+    def release(self, names: list[str]) -> bool:
+        answer = self._call("POST", protocol.PATH_RELEASE, protocol.release(names))
+        if answer is None or answer[0] != 200:
+            return False
+        self.fleet.released(names)
+        now = time.monotonic()
+        for name in names:
+            self._known.pop(name, None)
+            self.gone_news[name] = now
+        for name in [n for n, at in self.gone_news.items() if now - at > 6 * self.settings.lease_s]:
+            del self.gone_news[name]
+        log.info("released %s", ", ".join(names))
+        for name in names:
+            self._bury(name)
+        return True
+
+    def _bury(self, name: str) -> None:
+        """The cloud has confirmed that the machine is gone, and with it all that it ran or might have started."""
+        for job, _ in self.book.on_machine(name):
+            def edit(job: Any, _: Any) -> Any:
+                return job.without({(c.machine, c.session, c.attempt): c.tasks for c in job.claims
+                                    if c.machine == name}, 0)
+            try:
+                self.ledger.change(job.id, edit, {})
+            except (Unavailable, Unknown) as error:
+                log.info("machine %s: %s", name, error)
+        self.planner.wake()
+
+    def _guard(self) -> None:
+        pause = min(1.0, self.settings.report_s / 2.0)
+        while True:
+            time.sleep(pause * random.uniform(0.8, 1.2))
+            try:
+                self._guard_once()
+            except Exception:
+                log.exception("guard")
+                time.sleep(1.0)
+
+    def _guard_once(self) -> None:
+        now = time.monotonic()
+        with self.fleet.lock:
+            gone = [name for name in self.book.machines() if name in self.fleet.gone]
+        for name in gone:
+            self._bury(name)  # a write that failed before
+        grants = {grant.block: grant for grant in self.coordinator.grants()}
+        foreign = [m.name for m in self.fleet.all() if block_of(m.zone) not in grants
+                   and now - m.heard > self.settings.lease_s]
+        self.fleet.drop(foreign)
+        if not self.coordinator.lease_valid:
+            return
+        for block, grant in grants.items():
+            own = [m for m in self.fleet.all() if block_of(m.zone) == block]
+            known = {m.name for m in own}
+            # machines with claims that have never reported to us
+            unseen: dict[str, float] = {}
+            for job in self.book.live():
+                for claim in job.claims:
+                    if block_of(claim.zone) == block and claim.machine not in known:
+                        unseen[claim.machine] = grant.since
+            silent = {m.name: max(m.heard, grant.since) for m in own
+                      if now - max(m.heard, grant.since) > self.planner.suspect_s}
+            silent.update({name: since for name, since in unseen.items() if now - since > self.planner.suspect_s})
+            total = len(own) + len(unseen)
+            if silent and len(silent) == total and not self.coordinator.unfit and self.settings.peers:
+                # we hear nobody there: another controller may
+                log.info("block %s: none of %d machines is heard", block, total)
+                self.coordinator.set_unfit(2.0 * self.settings.lease_s)
+            self._silent(silent, total, own, now)
+            self._spare(own, now)
+
+    def _silent(self, silent: dict[str, float], total: int, own: list[Machine], now: float) -> None:
+        """Release what is out of reach: only then its tasks may be started elsewhere."""
+        # If most are silent the network is to blame rather than they, and they may go on working on their side.
+        patience = self.settings.lease_s * (0.55 if 2 * len(silent) <= max(total, 2) else 2.0)
+        addresses = {m.name: m.address for m in own}
+        doomed = []
+        for name, since in silent.items():
+            wanted = {job.id: job for job, _ in self.book.on_machine(name)}
+            cancelled = any(job.cancelled for job in wanted.values())
+            limit = min(patience, self.settings.lease_s) if cancelled else patience
+            if now - since > limit:
+                doomed.append(name)
+            elif addresses.get(name) and now - self._probed.get(name, 0.0) > self.settings.lease_s / 2.0:
+                self._probed[name] = now
+        if doomed:
+            self.release(doomed[:100])
+
+    def _spare(self, own: list[Machine], now: float) -> None:
+        keep = self.settings.knobs.keep_idle * LEAST_CHARGE_S * 0.5
+        idle = [m for m in own if m.idle_since is not None and not m.tasks and not self.book.on_machine(m.name)]
+        doomed = []
+        ordinary = [m for m in own if not m.spot and not m.draining]
+        for machine in idle:
+            if machine.draining or machine.notice_at is not None:
+                doomed.append(machine)
+            elif now - machine.idle_since > keep:
+                if not machine.spot and len(ordinary) <= 1:
+                    continue  # a warm one for services
+                if machine in ordinary:
+                    ordinary.remove(machine)
+                doomed.append(machine)
+        with self.fleet.lock:
+            # from here on no claim can come: the planner passes over machines that are being released
+            for machine in doomed:
+                machine.releasing = True
+        doomed = [m for m in doomed if not self.book.on_machine(m.name)]
+        if doomed and not self.release([m.name for m in doomed[:100]]):
+            with self.fleet.lock:
+                for machine in doomed:
+                    machine.releasing = False
+        for machine in own:
+            with self.fleet.lock:
+                if machine.draining:
+                    self._empty(machine)
+
+    def _empty(self, machine: Machine) -> None:
+        for job, claim in self.book.on_machine(machine.name):
+            for index in members(claim.tasks):
+                machine.stops.setdefault((job.id, index, claim.attempt), 1.5 * job.spec.save_s)
+
+    # The leader: machine types, the list, rentals
+
+    def _lead(self) -> None:
+        pause = max(1.0, 1.5 / self.settings.cloud_rps)
+        types_at = -1e9
+        while True:
+            time.sleep(pause * random.uniform(0.9, 1.1))
+            try:
+                now = time.monotonic()
+                refresh = 10.0 * self.settings.lease_s if self.coordinator.term else 1e9
+                if not self.types or now - types_at > refresh:
+                    answer = self._call("GET", protocol.PATH_TYPES, None)
+                    if answer is not None and answer[0] == 200:
+                        self.types = protocol.parse_types(answer[1])
+                        types_at = now
+                term = self.coordinator.term
+                if term is None or not self.types:
+                    self._lead_since = (None, 0.0)
+                    continue
+                if self._lead_since[0] != term:
+                    self._lead_since = (term, now)
+                    self._counter = 0
+                listed = self._list()
+                if listed is not None:
+                    self._rent(term, listed)
+            except Invalid as error:
+                log.error("cloud: unexpected answer: %s", error)
+            except Exception:
+                log.exception("rentals")
+                time.sleep(1.0)
+
+    def _list(self) -> dict[str, ListedMachine] | None:
+        found: dict[str, ListedMachine] = {}
+        after = ""
+        while True:
+            answer = self._call("GET", protocol.list_path(after, 500), None, 0.2)
+            if answer is None or answer[0] != 200:
+                return None
+            rows, more = protocol.parse_listed(answer[1])
+            found.update((row.name, row) for row in rows)
+            if not more or not rows:
+                return found
+            after = rows[-1].name
+
+    def _fleets(self) -> tuple[dict[str, Rented], set[str]]:
+        """Machines that some holder hears, and those that were released."""
+        now = time.monotonic()
+        heard = {}
+        gone = set(self.fleet.gone)
+        for machine in self.fleet.all():
+            if not machine.draining and not machine.releasing:
+                heard[machine.name] = Rented(machine.type, machine.zone, machine.spot, machine.first_heard)
+        for peer in self.link.peers.values():
+            if now - peer.at > self.settings.lease_s or peer.machines is None:
+                continue
+            for name, kind, zone, spot, released in peer.machines:
+                if released:
+                    gone.add(name)
+                else:
+                    heard[name] = Rented(kind, zone, bool(spot), now)
+        return heard, gone
+
+    def _rent(self, term: int, listed: dict[str, ListedMachine]) -> None:
+        now, clock = time.monotonic(), time.time()
+        heard, gone = self._fleets()
+        lag = 2.0 * self.settings.list_lag_s
+        failed = [name for name, row in listed.items() if row.state == "failed" and name not in gone]
+        for name, row in listed.items():
+            if name not in gone and row.state != "failed":
+                known = self._known.setdefault(name, Rented(row.type, row.zone, row.spot, now - row.age_s))
+                known.listed = now
+        late = []
+        for name, known in list(self._known.items()):
+            kind = self.types.get(known.type)
+            if name in gone or (name not in listed and name not in heard and now - known.since > lag + 5.0):
+                del self._known[name]
+                continue
+            row = listed.get(name)
+            if name in heard:
+                self._strangers.pop(name, None)
+                continue
+            boot = kind.boot_s if kind else self.settings.lease_s
+            if row is not None and row.state == "running":
+                # up by the list, but nobody hears it
+                since = self._strangers.setdefault(name, now)
+                if now - since > 2.0 * self.settings.lease_s and now - self._lead_since[1] > self.settings.lease_s:
+                    late.append(name)
+            elif now - known.since > 3.0 * boot + lag:
+                late.append(name)
+        if failed or late:
+            self.release((failed + late)[:100])
+        if now - self._lead_since[1] < 1.5:
+            return
+        capacities = []
+        booting = 0
+        for name in set(self._known) | set(heard):
+            known = heard.get(name) or self._known[name]
+            kind = self.types.get(known.type)
+            if kind is None or name in late or name in gone:
+                continue
+            free = [kind.cpus, kind.gpus, kind.memory_gb]
+            returns = []
+            for job, claim in self.book.on_machine(name):
+                tasks = claim.tasks.bit_count()
+                amount = tuple(part * tasks for part in need_of(job.spec))
+                free = [have - part for have, part in zip(free, amount, strict=True)]
+                if job.spec.kind != "service":
+                    left = self.planner.estimates.corrected(job.spec) - (clock - claim.at)
+                    returns.append((max(left, 1.0), amount))
+            ready = 0.0
+            if name not in heard:
+                booting += 1
+                ready = max(1.0, kind.boot_s - (now - known.since))
+            capacities.append(Capacity(kind, known.zone, known.spot, tuple(free), ready, returns))
+        wants = [want for want in (self.planner.want(job, now, clock) for job in self.book.live()) if want]
+        offers = [Offer(kind, zone, spot) for kind in self.types.values() for zone in kind.zones
+                  for spot in (True, False) if self._shortage.get(Offer(kind, zone, spot), 0.0) < now]
+        rank: dict[str, int] = {}
+        for capacity in capacities:
+            rank[capacity.zone] = rank.get(capacity.zone, 0) + 1
+        capacities.sort(key=lambda c: (c.ready_in, c.spot))
+        for rental in to_rent(wants, capacities, offers, now=clock, rank=rank):
+            self._order(term, rental.offer, min(50, rental.machines))
+
+    def _order(self, term: int, offer: Offer, machines: int) -> None:
+        self._counter += 1
+        # a term is one election of one process, so the name can't be used again
+        name = f"tidebend-{term}-{self._counter}"
+        now = time.monotonic()
+        answer = self._call("POST", protocol.PATH_RENT,
+                            protocol.rent(name, offer.type.name, offer.zone, offer.spot, machines))
+        if answer is None:
+            return  # may have been executed: such machines show up in the list
+        status, body = answer
+        if status == 200:
+            names = protocol.parse_rented(body)
+            for machine in names:
+                self._known[machine] = Rented(offer.type.name, offer.zone, offer.spot, now)
+            log.info("rented %d of %d %s in %s%s", len(names), machines, offer.type.name, offer.zone,
+                     " (spot)" if offer.spot else "")
+            if len(names) < machines:
+                self._shortage[offer] = now + self.settings.lease_s
+        elif status == 503 and isinstance(body, dict) and body.get("error") == "no capacity":
+            self._shortage[offer] = now + random.uniform(0.7, 1.3) * self.settings.lease_s
+        elif status not in (429, 503):
+            log.error("cloud: unexpected %s to a rental: %s", status, body)
--- /dev/null
+++ b/tidebend/settings.py
@@ -0,0 +1,221 @@
+"""The checked settings: the platform's TOML file and the operators' optional HCL file."""
+
+from __future__ import annotations
+
+import tomllib
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+
+class SettingsError(Exception):
+    """A settings file can't be used; the message names the field."""
+
+
+@dataclass(frozen=True)
+class Peer:
+    name: str
+    zone: str
+    address: tuple[str, int]
+
+
+@dataclass(frozen=True)
+class Team:
+    """Amounts a team is guaranteed and may at most use; a limit of None is no limit."""
+
+    name: str
+    cpus: float
+    gpus: float
+    cpus_max: float | None
+    gpus_max: float | None
+
+    def allows(self, cpus: float, gpus: float) -> bool:
+        return (self.cpus_max is None or cpus <= self.cpus_max + 1e-6) and (
+            self.gpus_max is None or gpus <= self.gpus_max + 1e-6
+        )
+
+
+@dataclass(frozen=True)
+class Knobs:
+    """The operators' own settings. All are ratios."""
+
+    # length of a controller's lease at the state service, as a share of the workers' lease
+    controller_lease: float = 0.35
+    # a machine silent for this share of the workers' lease is suspect and is asked directly
+    suspect_after: float = 0.45
+    # idle machines are kept for this share of the cloud's least charge
+    keep_idle: float = 1.0
+    # place-holders reach this many estimates into the future
+    horizon: float = 4.0
+    # replicas of services that warm room is kept for, as a share of the replicas running
+    warm_room: float = 0.1
+
+
+@dataclass(frozen=True)
+class Settings:
+    name: str
+    zone: str
+    listen: tuple[str, int]
+    peer_listen: tuple[str, int]
+    peers: tuple[Peer, ...]
+    cloud: tuple[str, int]
+    state: tuple[str, int]
+    zones: tuple[str, ...]
+    clock_off_s: float
+    teams: dict[str, Team]
+    start_aims: dict[str, float]
+    report_s: float
+    lease_s: float
+    gang_wait_s: float
+    gang_peer_s: float
+    cancel_s: float
+    state_rps: float
+    state_write_rps: float
+    state_value_bytes: int
+    state_txn_ops: int
+    cloud_rps: float
+    list_lag_s: float
+    max_sockets: int
+    knobs: Knobs = field(default_factory=Knobs)
+
+    @property
+    def controllers(self) -> int:
+        return len(self.peers) + 1
+
+    @property
+    def controller_lease_s(self) -> float:
+        return self.lease_s * self.knobs.controller_lease
+
+    @property
+    def answer_bound_s(self) -> float:
+        """How long after its last contact with the state service a holder may go on answering workers.
+
+        Whoever told a user "cancelled" must see the machine's tasks end within `cancel_s`; a worker that
+        nobody answers needs `lease_s` for that. The margin covers clock drift and a report in flight.
+        """
+        return max(0.0, self.cancel_s - self.lease_s - 2.0 * self.report_s - 0.1 * self.lease_s)
+
+
+class _Reader:
+    def __init__(self, table: dict[str, Any], where: str = "") -> None:
+        self.table = table
+        self.where = where
+
+    def _get(self, key: str, kinds: tuple[type, ...], what: str, default: Any = None) -> Any:
+        name = f"{self.where}{key}"
+        if key not in self.table:
+            if default is not None:
+                return default
+            raise SettingsError(f"settings: {name} is missing")
+        value = self.table[key]
+        if not isinstance(value, kinds) or isinstance(value, bool):
+            raise SettingsError(f"settings: {name} must be {what}")
+        return value
+
+    def text(self, key: str) -> str:
+        return self._get(key, (str,), "a text")
+
+    def number(self, key: str, least: float = 0.0, default: float | None = None) -> float:
+        value = float(self._get(key, (int, float), "a number", default))
+        if not least <= value < float("inf"):
+            raise SettingsError(f"settings: {self.where}{key} must be a number of at least {least:g}")
+        return value
+
+    def table_of(self, key: str) -> _Reader:
+        return _Reader(self._get(key, (dict,), "a table"), f"{self.where}{key}.")
+
+    def tables(self, key: str) -> list[_Reader]:
+        rows = self._get(key, (list,), "a list of tables", default=[])
+        if any(not isinstance(row, dict) for row in rows):
+            raise SettingsError(f"settings: {self.where}{key} must be a list of tables")
+        return [_Reader(row, f"{self.where}{key}[{n}].") for n, row in enumerate(rows)]
+
+    def texts(self, key: str) -> tuple[str, ...]:
+        rows = self._get(key, (list,), "a list of texts")
+        if any(not isinstance(row, str) for row in rows):
+            raise SettingsError(f"settings: {self.where}{key} must be a list of texts")
+        return tuple(rows)
+
+    def address(self, key: str) -> tuple[str, int]:
+        host, _, port = self.text(key).rpartition(":")
+        if not host or not port.isdigit() or int(port) > 65535:
+            raise SettingsError(f"settings: {self.where}{key} must be an address with a port")
+        return host, int(port)
+
+
+def _knobs(path: str) -> Knobs:
+    import hcl2  # only where such a file is used: the parser is slow to import
+
+    try:
+        with open(path, encoding="utf-8") as source:
+            table = hcl2.load(source)
+    except Exception as error:
+        raise SettingsError(f"{path}: not an HCL file: {error}") from error
+    values = {}
+    for knob in fields(Knobs):
+        if knob.name in table:
+            value = table[knob.name]
+            if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value < 1e6:
+                raise SettingsError(f"{path}: {knob.name} must be a ratio of at least 0")
+            values[knob.name] = float(value)
+    knobs = Knobs(**values)
+    if not 0.05 <= knobs.controller_lease <= 0.8:
+        raise SettingsError(f"{path}: controller_lease must be between 0.05 and 0.8")
+    return knobs
+
+
+def load_settings(path: str, knobs_path: str | None = None) -> Settings:
+    try:
+        with open(path, "rb") as source:
+            table = tomllib.load(source)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: not a TOML file: {error}") from error
+    return read_settings(table, _knobs(knobs_path) if knobs_path else Knobs())
+
+
+def read_settings(table: dict[str, Any], knobs: Knobs) -> Settings:
+    # The platform's file has words of its own; they end here.
+    top = _Reader(table)
+    outside = top.table_of("outside")
+    deployment = top.table_of("deployment")
+    workers = deployment.table_of("workers")
+    state = deployment.table_of("state")
+    cloud = deployment.table_of("cloud")
+    teams = {}
+    for row in deployment.tables("teams"):
+        # a limit that is written as 0 is none
+        team = Team(row.text("name"), row.number("cpus", default=0.0), row.number("gpus", default=0.0),
+                    row.number("cpus_max", default=0.0) or None, row.number("gpus_max", default=0.0) or None)
+        teams[team.name] = team
+    start_aims = {}
+    for row in deployment.tables("objectives"):
+        if row.table.get("kind") == "wait" and "class" in row.table:
+            start_aims[row.text("class")] = row.number("within_s")
+    return Settings(
+        name=top.text("member"),
+        zone=top.text("site"),
+        listen=top.address("serve_on"),
+        peer_listen=top.address("peer_bind"),
+        peers=tuple(Peer(row.text("member"), row.text("site"), row.address("address"))
+                    for row in top.tables("peers")),
+        cloud=outside.address("cloud"),
+        state=outside.address("state"),
+        zones=deployment.texts("zones"),
+        clock_off_s=deployment.number("clock_off_ms", default=0.0) / 1000.0,
+        teams=teams,
+        start_aims=start_aims,
+        report_s=workers.number("report_s", 0.001),
+        lease_s=workers.number("lease_s", 0.001),
+        gang_wait_s=workers.number("gang_wait_s"),
+        gang_peer_s=workers.number("gang_peer_s"),
+        cancel_s=workers.number("cancel_s"),
+        state_rps=state.number("rps", 0.001),
+        state_write_rps=state.number("write_rps", 0.001),
+        state_value_bytes=int(state.number("value_kb", 0.1) * 1024),
+        state_txn_ops=int(state.number("txn_ops", 2)),
+        cloud_rps=cloud.number("rps", 0.001),
+        list_lag_s=cloud.number("list_lag_s"),
+        max_sockets=int(deployment.table_of("resources").number("max_sockets", 16)),
+        knobs=knobs,
+    )
--- /dev/null
+++ b/tidebend/storage/__init__.py
@@ -0,0 +1,281 @@
+"""The state service's client, and a cache of its keys that knows how old it is."""
+
+from __future__ import annotations
+
+import logging
+import random
+import threading
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+from tidebend import protocol
+from tidebend.protocol import Write
+from tidebend.transport import Budget, HttpClient, NoAnswer, Unreachable
+
+log = logging.getLogger("storage")
+
+# Everything of ours is watched; only what is live is read at the start, so that a long past costs nothing.
+PREFIX = "tidebend/"
+LIVE = PREFIX + "live/"
+FINAL = PREFIX + "final/"
+
+
+class Unavailable(Exception):
+    """Not executed: refused, over budget, or no connection."""
+
+
+class Unknown(Exception):
+    """May have been executed, or may be later."""
+
+
+class Conflict(Exception):
+    """A condition failed."""
+
+    def __init__(self, keys: list[str]) -> None:
+        super().__init__(", ".join(keys))
+        self.keys = keys
+
+
+class NoSuchLease(Exception):
+    """A put named a lease that has ended."""
+
+
+# The share of a second's budget that must be left after a request of each kind. Renewals of our own lease
+# aren't held back at all; claims, ends and cancels find room when submissions and polls don't.
+FLOORS = {"lease": -1.0, "claim": 0.0, "submit": 0.2, "poll": 0.35}
+
+
+class StateClient:
+    def __init__(self, address: tuple[str, int], rps: float, write_rps: float, controllers: int,
+                 timeout: float) -> None:
+        self._http = HttpClient(address, keep=6)
+        # A controller's share is more than an equal one, since the others seldom use theirs in the same second;
+        # when they do, the service refuses, which is safe, and the refused back off.
+        share = min(1.0, 1.8 / controllers)
+        self._requests = Budget(rps * share)
+        self._writes = Budget(write_rps * share)
+        self.timeout = timeout
+        self.last_contact = -1e9  # steady time at which the last answered request was sent
+
+    def _call(self, method: str, path: str, body: Any, kind: str, writes: int = 0, timeout: float = 0.0,
+              patience: float = 0.0) -> tuple[int, Any]:
+        deadline = time.monotonic() + patience
+        floor = FLOORS[kind]
+        while not (self._requests.take(1.0, floor)
+                   and (not writes or self._writes.take(writes, floor))):
+            if time.monotonic() >= deadline:
+                raise Unavailable("over budget")
+            time.sleep(random.uniform(0.5, 1.5) / self._requests.rate)
+        sent = time.monotonic()
+        try:
+            status, answer = self._http.request(method, path, body, timeout or self.timeout)
+        except Unreachable as error:
+            raise Unavailable(str(error)) from error
+        except NoAnswer as error:
+            raise Unknown(str(error)) from error
+        if status == 429:
+            raise Unavailable("over the service's budget")
+        if status == 503:
+            raise Unavailable("refused")
+        self.last_contact = max(self.last_contact, sent)
+        return status, answer
+
+    def transact(self, conditions: dict[str, int], writes: list[Write], kind: str = "claim",
+                 patience: float = 0.5) -> int:
+        """Returns the revision; raises Conflict, NoSuchLease, Unavailable or Unknown."""
+        status, answer = self._call("POST", protocol.PATH_TRANSACTION, protocol.transaction(conditions, writes),
+                                    kind, len(writes), patience=patience)
+        try:
+            if status == 200:
+                return protocol.parse_revision(answer)
+            if status == 409:
+                raise Conflict([str(key) for key in (answer or {}).get("failed", [])])
+        except protocol.Invalid as error:
+            raise Unknown(str(error)) from error
+        if status == 400 and isinstance(answer, dict) and answer.get("error") == "no such lease":
+            raise NoSuchLease
+        log.error("state service: unexpected %s to a transaction: %s", status, answer)
+        raise Unknown(f"unexpected status {status}")
+
+    def get(self, key: str, kind: str = "poll", patience: float = 0.0) -> tuple[Any, int]:
+        """The value and its version, (None, 0) if there is no such key."""
+        status, answer = self._call("GET", protocol.key_path(key), None, kind, patience=patience)
+        if status == 404:
+            return None, 0
+        if status != 200:
+            raise Unknown(f"unexpected status {status}")
+        try:
+            return protocol.parse_item(answer)
+        except protocol.Invalid as error:
+            raise Unknown(str(error)) from error
+
+    def items(self, prefix: str, after: str | None) -> tuple[list[tuple[str, Any, int]], bool, int]:
+        status, answer = self._call("GET", protocol.range_path(prefix, after, 500), None, "claim",
+                                    timeout=2 * self.timeout, patience=1.0)
+        if status != 200:
+            raise Unknown(f"unexpected status {status}")
+        try:
+            return protocol.parse_items(answer)
+        except protocol.Invalid as error:
+            raise Unknown(str(error)) from error
+
+    def changes(self, prefix: str, revision: int, wait_s: float,
+                kind: str) -> tuple[list[tuple[str, Any, int]], int] | None:
+        """None if the revision is too old."""
+        status, answer = self._call("GET", protocol.changes_path(prefix, revision, int(wait_s * 1000)), None, kind,
+                                    timeout=wait_s + self.timeout)
+        if status == 410:
+            return None
+        if status != 200:
+            raise Unknown(f"unexpected status {status}")
+        try:
+            return protocol.parse_changes(answer)
+        except (protocol.Invalid, KeyError, TypeError) as error:
+            raise Unknown(str(error)) from error
+
+    def grant_lease(self, seconds: float) -> int:
+        status, answer = self._call("POST", protocol.PATH_LEASES, protocol.lease_request(seconds), "lease")
+        if status != 200:
+            raise Unknown(f"unexpected status {status}")
+        try:
+            return protocol.parse_lease(answer)
+        except protocol.Invalid as error:
+            raise Unknown(str(error)) from error
+
+    def extend_lease(self, lease: int) -> bool:
+        """False if the lease has ended."""
+        status, _ = self._call("POST", protocol.lease_path(lease, "/extend"), None, "lease")
+        if status == 404:
+            return False
+        if status != 200:
+            raise Unknown(f"unexpected status {status}")
+        return True
+
+
+class Mirror:
+    """A cache of every key under LIVE, fed by a watch and by reads on demand; finals are only passed on.
+
+    `on_change(key, value, version)` is called under `lock`, for each newer version once.
+    """
+
+    KEEP_TOMBSTONES = 2000
+
+    def __init__(self, state: StateClient, on_change: Callable[[str, Any, int], None],
+                 lock: threading.RLock, watch_s: float) -> None:
+        self.state = state
+        self.lock = lock
+        self.loaded = threading.Event()
+        self._on_change = on_change
+        self._watch_s = watch_s
+        self._items: dict[str, tuple[Any, int]] = {}
+        self._gone: OrderedDict[str, int] = OrderedDict()
+        self._revision = 0
+        self._read = threading.Condition()
+        self._wanted = self._begun = self._succeeded = self._failed = 0
+
+    def start(self) -> None:
+        threading.Thread(target=self._watch, name="watch", daemon=True).start()
+        threading.Thread(target=self._reader, name="barrier", daemon=True).start()
+
+    def get(self, key: str) -> tuple[Any, int]:
+        with self.lock:
+            return self._items.get(key, (None, 0))
+
+    def under(self, prefix: str) -> dict[str, tuple[Any, int]]:
+        with self.lock:
+            return {key: item for key, item in self._items.items() if key.startswith(prefix)}
+
+    def apply(self, rows: list[tuple[str, Any, int]]) -> None:
+        """Take over changes; older ones than those known are dropped, in whatever order they come."""
+        with self.lock:
+            for key, value, version in rows:
+                if key.startswith(FINAL):
+                    self._on_change(key, value, version)
+                    continue
+                if version <= self._items.get(key, (None, 0))[1] or version <= self._gone.get(key, 0):
+                    continue
+                if value is None:
+                    self._items.pop(key, None)
+                    # guards against an answer that was under way while the key was deleted
+                    self._gone[key] = version
+                    self._gone.move_to_end(key)
+                    while len(self._gone) > self.KEEP_TOMBSTONES:
+                        self._gone.popitem(last=False)
+                else:
+                    self._gone.pop(key, None)
+                    self._items[key] = (value, version)
+                self._on_change(key, value, version)
+
+    def _load(self) -> None:
+        after: str | None = None
+        first: int | None = None
+        seen = set()
+        while True:
+            rows, more, revision = self.state.items(LIVE, after)
+            first = revision if first is None else first
+            seen.update(key for key, _, _ in rows)
+            self.apply(rows)
+            if not more or not rows:
+                break
+            after = rows[-1][0]
+        with self.lock:
+            gone = [(key, None, first) for key, (_, version) in self._items.items()
+                    if key not in seen and version < first]
+            self.apply(gone)
+            self._revision = max(self._revision, first)
+        self.loaded.set()
+
+    def _catch_up(self, wait_s: float, kind: str) -> None:
+        with self.lock:
+            revision = self._revision
+        result = self.state.changes(PREFIX, revision, wait_s, kind) if self.loaded.is_set() else None
+        if result is None:
+            self._load()
+            return
+        rows, newest = result
+        with self.lock:
+            self.apply(rows)
+            self._revision = max(self._revision, newest)
+
+    def _watch(self) -> None:
+        while True:
+            try:
+                self._catch_up(self._watch_s, "claim")
+            except (Unavailable, Unknown) as error:
+                log.info("watch: %s", error)
+                time.sleep(random.uniform(0.05, 0.15) * self._watch_s)
+
+    def _reader(self) -> None:
+        while True:
+            with self._read:
+                while self._wanted <= self._begun:
+                    self._read.wait()
+                self._begun += 1
+                number = self._begun
+            try:
+                self._catch_up(0.0, "poll")
+                fine = True
+            except (Unavailable, Unknown) as error:
+                log.debug("barrier: %s", error)
+                fine = False
+            with self._read:
+                if fine:
+                    self._succeeded = number
+                else:
+                    self._failed = number
+                self._read.notify_all()
+
+    def barrier(self, timeout: float) -> bool:
+        """Bring the cache up to a read begun after this call; reads are shared by those who wait."""
+        deadline = time.monotonic() + timeout
+        with self._read:
+            number = self._begun + 1
+            self._wanted = max(self._wanted, number)
+            self._read.notify_all()
+            while self._succeeded < number and self._failed < number:
+                left = deadline - time.monotonic()
+                if left <= 0 or not self._read.wait(left):
+                    break
+            return self._succeeded >= number
