--- a/tidebend/bookkeeping/machines.py
+++ b/tidebend/bookkeeping/machines.py
@@ -37,6 +37,7 @@
     draining: bool = False
     idle_since: float | None = None
     releasing: bool = False
+    unsettled: bool = True  # heard since its claims were last compared with its report
 
     def hears(self, report: Report, now: float) -> bool:
         """Take a report over; False if it is older than one that we have."""
@@ -50,6 +51,7 @@
         self.address = report.address or self.address
         self.notice_at = None if report.notice_s is None else now + report.notice_s
         self.heard = now
+        self.unsettled = True
         self.tasks = {(task.job, task.index, task.attempt): task for task in report.tasks}
         for key, task in self.tasks.items():
             if task.state == "running":
--- a/tidebend/provisioning/__init__.py
+++ b/tidebend/provisioning/__init__.py
@@ -69,7 +69,7 @@
         need = need_of(want.spec)
         allowed = [offer for offer in offers if offer.type.fits(want.spec) and (want.spec.spot or not offer.spot)
                    and offer.zone in offer.type.zones and want.spec.zone in (None, offer.zone)
-                   and want.zone_room(offer.zone) > 0]
+                   and want.zone_room(offer.zone) > 0 and not (want.keeps_off_gpus and offer.type.gpus > 0)]
         boot_s = min((offer.type.boot_s for offer in allowed), default=0.0)
         missing = min(_side_by_side(want, now, 0.0), want.headroom, want.waiting)
         slack = max(0.0, want.value.soft - now - want.estimate) if not want.service else 0.0
@@ -78,7 +78,7 @@
                 break
             if not capacity.type.fits(want.spec) or (capacity.spot and not want.spec.spot):
                 continue
-            if want.spec.zone not in (None, capacity.zone):
+            if want.spec.zone not in (None, capacity.zone) or (want.keeps_off_gpus and capacity.type.gpus > 0):
                 continue
             # what becomes free before the tasks must begin at the latest, or before a new machine could be up
             room = capacity.room_by(max(slack, boot_s if not want.service else 0.0))
--- a/tidebend/scheduling/__init__.py
+++ b/tidebend/scheduling/__init__.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import math
+from bisect import bisect_right
 from dataclasses import dataclass, field
-from itertools import count
+from heapq import heapify, heappop, heappush
 
 from tidebend.protocol import PRIORITIES, JobSpec, MachineType
 
@@ -50,12 +51,18 @@
 
 
 def times_fit(free: Amount, need: Amount) -> int:
-    """How many tasks of that size fit."""
-    most = math.inf
-    for have, want in zip(free, need, strict=True):
-        if want > EPSILON:
-            most = min(most, (have + EPSILON) // want)
-    return 1_000_000 if most == math.inf else max(0, int(most))
+    """How many tasks of that size fit. (Written out: a mapping event spends most of its time here.)"""
+    most = 1_000_000.0
+    amount = need[0]
+    if amount > EPSILON:
+        most = (free[0] + EPSILON) // amount
+    amount = need[1]
+    if amount > EPSILON:
+        most = min(most, (free[1] + EPSILON) // amount)
+    amount = need[2]
+    if amount > EPSILON:
+        most = min(most, (free[2] + EPSILON) // amount)
+    return int(most) if most > 0 else 0
 
 
 class Timeline:
@@ -85,15 +92,16 @@
             free = self.free[index]
             self.free[index] = (free[0] - amount[0], free[1] - amount[1], free[2] - amount[2])
 
+    def _index(self, time: float) -> int:
+        """The step that holds at `time`."""
+        return max(0, bisect_right(self.times, time) - 1)
+
     def room(self, start: float, end: float, need: Amount) -> int:
         """How many tasks fit from start to end."""
         most = 1_000_000
-        times = self.times
-        for index, begin in enumerate(times):
-            if begin >= end:
+        for index in range(self._index(start), len(self.times)):
+            if self.times[index] >= end:
                 break
-            if index + 1 < len(times) and times[index + 1] <= start:
-                continue
             most = min(most, times_fit(self.free[index], need))
             if not most:
                 break
@@ -101,30 +109,29 @@
 
     def earliest(self, after: float, length: float, need: Amount, latest: float) -> float | None:
         """The first start at which a task fits without disturbing what is placed."""
-        for index, begin in enumerate(self.times):
-            start = max(begin, after)
-            if start > latest:
-                return None
-            if index + 1 < len(self.times) and self.times[index + 1] <= start:
-                continue
-            if times_fit(self.free[index], need) and self.room(start, start + length, need):
+        start: float | None = None
+        for index in range(self._index(after), len(self.times)):
+            begin = self.times[index]
+            if start is not None and begin >= start + length:
                 return start
-        return None
+            if not times_fit(self.free[index], need):
+                start = None
+            elif start is None:
+                start = max(begin, after)
+                if start > latest:
+                    return None
+        return start
 
     def gap(self, start: float, end: float, need: Amount) -> tuple[int, float]:
         """The change in the number of idle gaps that a task from start to end makes, and its gap's length."""
-        first = last = None
-        for index, begin in enumerate(self.times):
-            stop = self.times[index + 1] if index + 1 < len(self.times) else math.inf
-            if times_fit(self.free[index], need):
-                if first is None or last is None or last < begin:
-                    first = begin
-                last = stop
-            elif last is not None and last > start:
-                break
-        if first is None or last is None:
-            return 1, math.inf
-        return (start > first) + (end < last) - 1, last - first
+        first = index = self._index(start)
+        while first > 0 and times_fit(self.free[first - 1], need):
+            first -= 1
+        index += 1
+        while index < len(self.times) and times_fit(self.free[index], need):
+            index += 1
+        last = self.times[index] if index < len(self.times) else math.inf
+        return (start > self.times[first]) + (end < last) - 1, last - self.times[first]
 
 
 @dataclass(slots=True)
@@ -139,6 +146,7 @@
     images: set[str] = field(default_factory=set)
     fetching: int = 0  # images being fetched now
     until: float = math.inf  # when the cloud takes it
+    changes: int = 0  # placements made on it in this event
 
     def fetch_s(self, spec: JobSpec) -> float:
         if spec.image in self.images or spec.image_gb <= 0:
@@ -163,6 +171,7 @@
     headroom: int = 1_000_000  # tasks that the team's limit still allows
     reserved: bool = False  # past its soft deadline: keeps a standing reservation
     not_before: float = 0.0
+    keeps_off_gpus: bool = False  # it can run without them, and so leaves them to those that can't
 
     @property
     def service(self) -> bool:
@@ -192,29 +201,33 @@
     now: bool  # starts now; otherwise a place-holder
 
 
-@dataclass(slots=True)
-class _Slot:
-    rate: float
-    finish: float
-    gaps: int
-    gap: float
-    left: float
-    start: float
-    place: Place
+def resource(spec: JobSpec, kind: MachineType, spot: bool, estimate: float) -> float:
+    """Estimate times the largest share of the machine's amounts, weighed by what the machine costs.
+
+    The paper counts cores, which are alike in all its clusters. Ours differ in price: without the weight the
+    largest machines, of which a task takes the smallest share, would always seem to be the cheapest.
+    """
+    share = max(spec.cpus / kind.cpus if kind.cpus > 0 else 0.0, spec.gpus / kind.gpus if kind.gpus > 0 else 0.0,
+                spec.memory_gb / kind.memory_gb if kind.memory_gb > 0 else 0.0, EPSILON)
+    return max(estimate * share * max(kind.spot_price if spot else kind.price, EPSILON), EPSILON)
+
 
-    def key(self) -> tuple:
-        # best value per resource; then earliest finish, fewest added gaps, smallest gap, tightest fit
-        return (-self.rate, round(self.finish, 3), self.gaps, self.gap, self.left, self.place.name)
+def _allowed(want: Want, place: Place) -> bool:
+    if want.keeps_off_gpus and place.type.gpus > 0:
+        return False
+    if want.service and place.until < math.inf:
+        return False
+    return place.allowed(want.spec)
 
 
-def share_of(spec: JobSpec, kind: MachineType) -> float:
-    shares = [need / have for need, have in zip(need_of(spec), (kind.cpus, kind.gpus, kind.memory_gb), strict=True)
-              if have > 0]
-    return max([EPSILON, *shares])
+# (-value per resource, finish, added gaps, gap, what the machine has left, its name, start)
+_Slot = tuple[float, float, int, float, float, str, float]
 
 
 def _slot(want: Want, place: Place, now: float, latest: float) -> _Slot | None:
-    if not place.allowed(want.spec) or want.zone_room(place.zone) < 1:
+    """The earliest slot on a machine. Slots compare by value per resource; ties go to the earliest finish, the
+    fewest added idle gaps, the smallest gap, the tightest fit."""
+    if want.zone_room(place.zone) < 1:
         return None
     length = place.fetch_s(want.spec) + want.estimate
     need = need_of(want.spec)
@@ -222,31 +235,20 @@
     if start is None:
         return None
     finish = start + length
-    if finish > place.until and not want.service:
-        return None
-    if want.service and place.until < math.inf:
+    if finish > place.until:
         return None
     worth = want.value.start if want.service else want.value.at(finish)
     gaps, gap = place.timeline.gap(start, finish, need)
     free = place.timeline.free[0]
     left = free[0] / max(place.type.cpus, EPSILON) + free[2] / max(place.type.memory_gb, EPSILON)
-    return _Slot(worth / max(want.estimate * share_of(want.spec, place.type), EPSILON), finish, gaps, gap, left,
-                 start, place)
-
-
-def best_slot(want: Want, places: list[Place], now: float, latest: float) -> _Slot | None:
-    best = None
-    for place in places:
-        slot = _slot(want, place, now, latest)
-        if slot is not None and (best is None or slot.key() < best.key()):
-            best = slot
-    return best
+    rate = worth / resource(want.spec, place.type, place.spot, want.estimate)
+    return -rate, round(finish, 3), gaps, gap, left, place.name, start
 
 
 def _place_gang(want: Want, places: list[Place], now: float, latest: float) -> list[Placement] | None:
     """Places for all tasks at one time, the earliest there is; nothing if the whole gang doesn't fit."""
     need = need_of(want.spec)
-    usable = [place for place in places if place.allowed(want.spec) and place.until == math.inf]
+    usable = [place for place in places if _allowed(want, place) and place.until == math.inf]
     starts = sorted({max(now, time) for place in usable for time in place.timeline.times if time <= latest} | {now})
     groups: list[list[Place]] = [usable]
     if want.spec.one_zone:
@@ -277,55 +279,74 @@
     return None
 
 
-def map_tasks(wants: list[Want], places: list[Place], now: float, horizon: float,
-              most: int = 2000) -> list[Placement]:
+def _startable(place: Place, wants: list[Want], now: float) -> bool:
+    """Whether any of the waiting tasks could start there now."""
+    free = place.timeline.free[0]
+    return any(want.waiting > 0 and want.not_before <= now and times_fit(free, need_of(want.spec))
+               and _allowed(want, place) for want in wants)
+
+
+def map_tasks(wants: list[Want], places: list[Place], now: float, horizon: float) -> list[Placement]:
     """One mapping event. The place-holders in the result guard their slots within it, and lapse with it."""
     placements: list[Placement] = []
     latest = now + horizon
-    turns = count()
+    wants = [want for want in wants if want.waiting > 0 and want.headroom > 0]  # teams at their limit are skipped
+    # Once nothing can start anywhere the event is over: what it would still hold lapses with it.
+    startable = {place.name for place in places if _startable(place, wants, now)}
 
     def run(entries: list[Want]) -> None:
-        # Only placing on a machine changes slots, and only for the worse: a best slot elsewhere stays the best.
-        slots: dict[int, tuple[Want, _Slot]] = {}
-        for want in entries:
-            if want.waiting < 1 or want.headroom < 1:
-                continue  # teams at their limit are skipped
+        # Placing changes slots only on its machine, and mostly for the worse. So the best of all slots is the top
+        # of a heap, once its machine is found unchanged since the slot was computed.
+        heap: list[tuple[_Slot, int, int, int]] = []
+
+        def offer(entry: int, spot: int) -> None:
+            want, place = entries[entry], places[spot]
+            if want.waiting > 0 and want.headroom > 0:
+                slot = _slot(want, place, now, latest)
+                if slot is not None:
+                    heappush(heap, (slot, entry, spot, place.changes))
+
+        if not startable:
+            return
+        for entry, want in enumerate(entries):
             if want.gang:
                 if want.headroom >= want.waiting:
-                    placements.extend(_place_gang(want, places, now, latest) or ())
+                    for placement in _place_gang(want, places, now, latest) or ():
+                        placements.append(placement)
+                        want.waiting -= placement.tasks
                 continue
-            slot = best_slot(want, places, now, latest)
-            if slot is not None:
-                slots[next(turns)] = (want, slot)
-        while slots and len(placements) < most:
-            number = min(slots, key=lambda n: slots[n][1].key())
-            want, slot = slots[number]
-            place, start = slot.place, slot.start
+            for spot, place in enumerate(places):
+                if _allowed(want, place):
+                    offer(entry, spot)
+        heapify(heap)
+        while heap and startable:
+            slot, entry, spot, changes = heappop(heap)
+            want, place = entries[entry], places[spot]
+            if changes != place.changes:
+                offer(entry, spot)
+                continue
+            finish, start = slot[1], slot[6]
             need = need_of(want.spec)
-            length = slot.finish - start
             tasks = min(want.waiting, want.headroom, want.zone_room(place.zone),
-                        place.timeline.room(start, start + length, need))
-            if want.service and want.spec.tasks > 1:
-                tasks = min(tasks, 1)  # replicas are told apart by where they run
-            if tasks > 0:
-                place.timeline.take(start, math.inf if want.service else slot.finish,
-                                    tuple(part * tasks for part in need))
-                if start <= now and place.fetch_s(want.spec) > 0:
-                    place.images.add(want.spec.image)
-                    place.fetching += 1
-                placements.append(Placement(want.job, place.name, tasks, start, slot.finish, start <= now))
-                want.waiting -= tasks
-                want.headroom -= tasks
-                want.zones[place.zone] = want.zones.get(place.zone, 0) + tasks
-            for other in [n for n, (_, s) in slots.items() if s.place is place or n == number]:
-                entry = slots[other][0]
-                again = None
-                if entry.waiting > 0 and entry.headroom > 0 and (tasks > 0 or other != number):
-                    again = best_slot(entry, places, now, latest)
-                if again is None:
-                    del slots[other]
-                else:
-                    slots[other] = (entry, again)
+                        place.timeline.room(start, finish, need))
+            if tasks < 1:
+                continue
+            if want.service:
+                tasks = 1  # replicas are told apart by where they run
+            place.timeline.take(start, math.inf if want.service else finish,
+                                tuple(part * tasks for part in need))
+            place.changes += 1
+            starts = start <= now
+            if starts and place.fetch_s(want.spec) > 0:
+                place.images.add(want.spec.image)
+                place.fetching += 1
+            placements.append(Placement(want.job, place.name, tasks, start, finish, starts))
+            want.waiting -= tasks
+            want.headroom -= tasks
+            want.zones[place.zone] = want.zones.get(place.zone, 0) + tasks
+            if place.name in startable and not _startable(place, wants, now):
+                startable.discard(place.name)
+            offer(entry, spot)
 
     # Services go first; then standing reservations, the oldest soft deadline before the others; then the pick.
     run([want for want in wants if want.service])
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -119,7 +119,7 @@
         ends: dict[str, _Ends] = {}
         for grant in self.coordinator.grants():
             for machine in self.fleet.all():
-                if block_of(machine.zone) == grant.block:
+                if machine.unsettled and block_of(machine.zone) == grant.block:
                     self._ends_on(machine, grant, ends)
         for job in self.book.live():
             if not job.claims and (job.cancelled or job.complete):
@@ -133,8 +133,9 @@
     def _ends_on(self, machine: Machine, grant: Grant, ends: dict[str, _Ends]) -> None:
         now = time.monotonic()
         with self.fleet.lock:
-            if machine.token != grant.token or machine.first_heard <= 0:
+            if machine.token != grant.token:
                 return
+            machine.unsettled = False
             for job, claim in self.book.on_machine(machine.name):
                 ended = done = 0
                 if claim.session < machine.session:
@@ -152,6 +153,7 @@
                                 done |= 1 << index
                             self._observe(machine, job, key, task.why, now)
                 if ended:
+                    machine.unsettled = True  # until the record says so
                     end = ends.setdefault(job.id, _Ends())
                     place = (claim.machine, claim.session, claim.attempt)
                     end.ended[place] = end.ended.get(place, 0) | ended
@@ -226,13 +228,11 @@
 
     def _place(self, machine: Machine, kind: MachineType, grant: Grant, now: float, clock: float) -> Place | None:
         held = self.book.on_machine(machine.name)
-        if held:
-            machine.idle_since = None
-        elif machine.idle_since is None:
-            machine.idle_since = now
         if machine.token != grant.token or machine.draining or machine.releasing or self.silent(machine, now):
             return None
-        timeline = Timeline(now, (kind.cpus, kind.gpus, kind.memory_gb))
+        # ends are rounded up to a report's interval: they are known no better, and the timeline has fewer steps
+        step = self.settings.report_s
+        ends: dict[float, tuple[float, float, float]] = {}
         fetching = set()
         for job, claim in held:
             need = need_of(job.spec)
@@ -241,12 +241,17 @@
                 left = self._remaining(machine, job, key, kind, now, clock, claim)
                 if key in machine.stops:
                     left = machine.stops[key] + self.settings.report_s
-                timeline.take(now, now + left, need)
+                end = left if left == math.inf else math.ceil(left / step) * step
+                taken = ends.get(end, (0.0, 0.0, 0.0))
+                ends[end] = (taken[0] + need[0], taken[1] + need[1], taken[2] + need[2])
                 task = machine.tasks.get(key)
                 if task is None or task.state == "fetching":
                     fetching.add(job.spec.image)
                 else:
                     machine.uses_image(job.spec.image, job.spec.image_gb, kind.cache_gb)
+        timeline = Timeline(now, (kind.cpus, kind.gpus, kind.memory_gb))
+        for end, taken in ends.items():
+            timeline.take(now, now + end, taken)
         place = Place(machine.name, kind, machine.zone, machine.spot, timeline, set(machine.images),
                       len(fetching))
         if machine.notice_at is not None:
@@ -280,7 +285,8 @@
         setback = self.setbacks.get(job.id)
         return Want(job.id, spec, value, estimate, pending.bit_count(), job.per_zone(), headroom,
                     not service and is_reserved(value, clock),
-                    clock + max(0.0, setback.not_before - now) if setback else 0.0)
+                    clock + max(0.0, setback.not_before - now) if setback else 0.0,
+                    spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()))
 
     def _turn(self, job: Job, block: str, blocks: list[str], now: float) -> float:
         """Seconds until this block may take a job's tasks: holders take turns, so as not to collide."""
@@ -296,11 +302,11 @@
         now, clock = time.monotonic(), time.time()
         if not self.coordinator.lease_valid:
             return
-        places = self.places(now, clock)
         jobs = {job.id: job for job in self.book.live() if job.pending}
         for name in [name for name in self._waiting_since if name not in jobs]:
             del self._waiting_since[name]
-        if not places or not jobs:
+        places = self.places(now, clock) if jobs else None
+        if not places:
             return
         for place, _, _ in places.values():
             # values are of the time of day, and so are the slots
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -167,6 +167,11 @@
             self.release(doomed[:100])
 
     def _spare(self, own: list[Machine], now: float) -> None:
+        for machine in own:
+            if self.book.on_machine(machine.name):
+                machine.idle_since = None
+            elif machine.idle_since is None:
+                machine.idle_since = now
         keep = self.settings.knobs.keep_idle * LEAST_CHARGE_S * 0.5
         idle = [m for m in own if m.idle_since is not None and not m.tasks and not self.book.on_machine(m.name)]
         doomed = []
