Direct commands, acknowledged peer frames, no releases on stale news

Frames are now acknowledged, and a machine that is listed as up is given up only on fresh news of its block's holder. Starts and stops now also go to the workers directly; a start without an answer stays doubtful until a new token is confirmed.

--- a/tidebend/bookkeeping/machines.py
+++ b/tidebend/bookkeeping/machines.py
@@ -7,6 +7,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from tidebend.bookkeeping.tasksets import members
 from tidebend.protocol import Command, Report, TaskReport
 
 
@@ -28,8 +29,12 @@
     tasks: dict[tuple[str, int, int], TaskReport] = field(default_factory=dict)
     # when each task was first reported as running; (job, index, attempt) -> steady time
     running_since: dict[tuple[str, int, int], float] = field(default_factory=dict)
-    # starts sent: (job, index, attempt) -> (session, sequence) of the report that they answered
-    sent: dict[tuple[str, int, int], tuple[int, int]] = field(default_factory=dict)
+    # the newest proper report, as opposed to answers to direct commands
+    report_sequence: int = 0
+    # starts sent in answers to reports: (job, index, attempt) -> sequence of the report
+    sent: dict[tuple[str, int, int], int] = field(default_factory=dict)
+    # starts sent directly whose outcome is open: (job, index, attempt) -> (token, steady time)
+    doubtful: dict[tuple[str, int, int], tuple[int, float]] = field(default_factory=dict)
     # what we want stopped, and with how much grace
     stops: dict[tuple[str, int, int], float] = field(default_factory=dict)
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)
@@ -39,28 +44,47 @@
     releasing: bool = False
     unsettled: bool = True  # heard since its claims were last compared with its report
 
-    def hears(self, report: Report, now: float) -> bool:
-        """Take a report over; False if it is older than one that we have."""
-        if (report.session, report.sequence) <= (self.session, self.sequence):
+    def hears(self, report: Report, now: float, direct: bool) -> bool:
+        """Take a report over; False if it is late, so that nobody waits for its answer any more."""
+        if report.session < self.session:
             return False
-        if report.session != self.session:
+        if report.session > self.session:
             self.sent.clear()
+            self.doubtful.clear()
             self.stops.clear()
             self.running_since.clear()
+            self.report_sequence = 0
+        if not direct:
+            if report.sequence <= self.report_sequence:
+                return False
+            self.report_sequence = report.sequence
+            self.heard = now
+        if (report.session, report.sequence) <= (self.session, self.sequence):
+            return True  # an answer to direct commands has overtaken it: newer, but the worker waits for this one
         self.session, self.sequence, self.token = report.session, report.sequence, report.token
         self.address = report.address or self.address
         self.notice_at = None if report.notice_s is None else now + report.notice_s
-        self.heard = now
         self.unsettled = True
         self.tasks = {(task.job, task.index, task.attempt): task for task in report.tasks}
         for key, task in self.tasks.items():
             if task.state == "running":
                 self.running_since.setdefault(key, now)
+        for key in [key for key, (token, _) in self.doubtful.items() if token < self.token]:
+            del self.doubtful[key]  # an older command is refused from now on
         for table in (self.running_since, self.stops):
             for key in [key for key in table if key not in self.tasks and key not in self.sent]:
                 del table[key]
         return True
 
+    def can_no_longer_start(self, key: tuple[str, int, int]) -> bool:
+        """Whether none of our starts for a task that isn't on the machine can still be executed.
+
+        Starts in an answer are executed before the next report is sent, or never. Direct ones may be late, until
+        the worker has confirmed a higher token.
+        """
+        sent = self.sent.get(key)
+        return key not in self.doubtful and (sent is None or self.report_sequence > sent)
+
     def uses_image(self, image: str, gb: float, cache_gb: float) -> None:
         self.images[image] = gb
         self.images.move_to_end(image)
@@ -74,7 +98,7 @@
         self.machines: dict[str, Machine] = {}
         self.gone: OrderedDict[str, float] = OrderedDict()  # released: name -> steady time
 
-    def heard(self, report: Report) -> Machine | None:
+    def heard(self, report: Report, direct: bool = False) -> Machine | None:
         """None for a machine that was released, and for a late report."""
         now = time.monotonic()
         with self.lock:
@@ -82,9 +106,9 @@
                 return None
             machine = self.machines.get(report.machine)
             if machine is None:
-                machine = Machine(report.machine, report.type, report.zone, report.spot, first_heard=now)
+                machine = Machine(report.machine, report.type, report.zone, report.spot, first_heard=now, heard=now)
                 self.machines[report.machine] = machine
-            return machine if machine.hears(report, now) else None
+            return machine if machine.hears(report, now, direct) else None
 
     def released(self, names: list[str]) -> None:
         with self.lock:
@@ -104,38 +128,40 @@
             return list(self.machines.values())
 
 
-def orders(machine: Machine, claims: list, token: int) -> list[Command]:
-    """Commands for a worker's report, from the recorded claims; called under the fleet's lock.
+def orders(machine: Machine, claims: list, token: int, direct: bool) -> list[Command]:
+    """Commands for a worker, from the recorded claims; called under the fleet's lock.
 
     `claims` holds (job, claim) pairs on this machine, read after the report came. Every start is repeated until
     the task is seen: a claim that is still recorded was never cleared, so the worker runs the attempt only once.
     """
     commands = []
     claimed = set()
+    now = time.monotonic()
     for job, claim in claims:
         if claim.session != machine.session:
             continue
-        tasks, index = claim.tasks, 0
-        while tasks:
-            skip = (tasks & -tasks).bit_length()
-            index += skip - 1
-            tasks >>= skip
+        for index in members(claim.tasks):
             key = (job.id, index, claim.attempt)
             claimed.add(key)
             task = machine.tasks.get(key)
             if task is None:
                 if not job.cancelled and not machine.releasing and key not in machine.stops:
-                    machine.sent[key] = (machine.session, machine.sequence)
+                    if direct:
+                        machine.doubtful[key] = (token, now)
+                    else:
+                        machine.sent[key] = machine.report_sequence
                     commands.append(Command("start", *key))
             elif task.state != "ended":
                 grace = 0.0 if job.cancelled else machine.stops.get(key)
                 if grace is not None and not (task.state == "saving" and grace > 0):
                     commands.append(Command("stop", *key, grace))
-            index += 1
     for key, task in machine.tasks.items():
         if key not in claimed:
             # no claim: its end is recorded, or it never had one; in neither case is it of use to anybody
-            commands.append(Command("forget" if task.state == "ended" else "stop", *key))
-            if task.state == "ended":
+            if task.state != "ended":
+                commands.append(Command("stop", *key))
+            elif machine.can_no_longer_start(key):
+                # guards against a late start that would run the attempt again once it is cleared
+                commands.append(Command("forget", *key))
                 machine.sent.pop(key, None)
     return commands
--- a/tidebend/coordination/__init__.py
+++ b/tidebend/coordination/__init__.py
@@ -13,7 +13,7 @@
 
 from tidebend.settings import Peer, Settings
 from tidebend.storage import LIVE, Conflict, Mirror, NoSuchLease, StateClient, Unavailable, Unknown
-from tidebend.transport import FrameServer, send_frame
+from tidebend.transport import FrameServer, receive_frame, send_frame
 
 log = logging.getLogger("coordination")
 
@@ -45,10 +45,12 @@
 class Coordinator:
     """Keeps our lease, leads if it falls to us, and knows which blocks are ours."""
 
-    def __init__(self, settings: Settings, state: StateClient, mirror: Mirror) -> None:
+    def __init__(self, settings: Settings, state: StateClient, mirror: Mirror,
+                 took_up: Callable[[Grant], None]) -> None:
         self.settings = settings
         self.state = state
         self.mirror = mirror
+        self._took_up = took_up
         self.lease: int | None = None
         self.lease_until = -1e9
         self._lease_s = settings.controller_lease_s
@@ -133,6 +135,15 @@
     def condition(self, grant: Grant) -> tuple[str, int]:
         return BLOCK + grant.block, grant.token
 
+    def raise_token(self, grant: Grant) -> None:
+        """Grant ourselves the block anew: what was sent under the old token can't be executed once the new one
+        is known to a worker."""
+        if self.lease is not None and self.lease_valid:
+            try:
+                self._put_block(grant.block, grant.token, self.settings.name, self.lease)
+            except FAILURES as error:
+                log.info("block %s: no new token: %s", grant.block, error)
+
     def deposed(self, block: str, token: int) -> None:
         """A worker has seen a higher token than ours."""
         with self._lock:
@@ -191,11 +202,13 @@
             log.info("block %s is no longer ours", block)
         # Claims that were recorded before the grant must be known before the first answer: our own transactions
         # reach the cache ahead of others' earlier ones.
-        if fresh and self.mirror.barrier(self.state.timeout):
+        if fresh and self.mirror.barrier(self.state.timeout, "claim"):
+            taken = [Grant(block, token, time.monotonic()) for block, token in fresh.items()]
             with self._lock:
-                for block, token in fresh.items():
-                    self._held[block] = Grant(block, token, time.monotonic())
-                    log.info("block %s is ours with token %s", block, token)
+                self._held.update((grant.block, grant) for grant in taken)
+            for grant in taken:
+                log.info("block %s is ours with token %s", grant.block, grant.token)
+                self._took_up(grant)
 
     def _put_block(self, block: str, version: int, holder: str, lease: int) -> None:
         value = {"holder": holder, "lease": lease}
@@ -228,7 +241,7 @@
             try:
                 revision = self.state.transact({LEADER: version}, [(LEADER, value, self.lease)], "lease")
             except Conflict:
-                self.mirror.barrier(self.state.timeout)
+                self.mirror.barrier(self.state.timeout, "claim")
                 return
             self.mirror.apply([(LEADER, value, revision)])
             log.info("leader from revision %s on", revision)
@@ -285,10 +298,11 @@
     at: float = -1e9
     state_contact: float = -1e9  # time of day of its last contact with the state service
     machines: list[list[Any]] | None = None
+    blocks: frozenset[str] = frozenset()  # those it holds
 
 
 class PeerLink:
-    """One-way frames to each peer, about once a report interval, with what we know of blocks and machines."""
+    """Frames to each peer, about once a report interval, with what we know of blocks and machines."""
 
     def __init__(self, settings: Settings, news: Callable[[], dict[str, Any]],
                  told: Callable[[dict[str, Any]], None]) -> None:
@@ -313,6 +327,7 @@
         try:
             news.state_contact = float(frame["state_contact"])
             news.machines = list(frame["machines"])
+            news.blocks = frozenset(frame["held"])
             news.at = time.monotonic()
             self._told(frame["blocks"])
         except (KeyError, TypeError, ValueError) as error:
@@ -326,6 +341,7 @@
                     stream = socket.create_connection(peer.address, timeout=2.0 * self.pause)
                     stream.settimeout(2.0 * self.pause)
                 send_frame(stream, self._news())
+                receive_frame(stream)
             except OSError as error:
                 log.debug("peer %s: %s", peer.name, error)
                 if stream is not None:
--- a/tidebend/service/__init__.py
+++ b/tidebend/service/__init__.py
@@ -12,12 +12,12 @@
 from tidebend import protocol
 from tidebend.bookkeeping.jobs import JobBook
 from tidebend.bookkeeping.machines import Fleet
-from tidebend.coordination import BLOCK, Coordinator, PeerLink
+from tidebend.coordination import BLOCK, Coordinator, PeerLink, block_of
 from tidebend.service.ledger import Ledger
 from tidebend.service.planner import Planner
 from tidebend.service.rentals import Rentals
 from tidebend.service.users import Users
-from tidebend.service.workers import Workers
+from tidebend.service.workers import Dispatcher, Workers
 from tidebend.settings import Settings
 from tidebend.storage import LIVE, Mirror, StateClient
 from tidebend.transport import Reply, Server
@@ -37,10 +37,13 @@
         self.book = JobBook(lock, KEEP_FINALS)
         self.mirror = Mirror(self.state, self._changed, lock, watch_s=settings.lease_s)
         self.fleet = Fleet()
-        self.coordinator = Coordinator(settings, self.state, self.mirror)
+        self.dispatcher = Dispatcher(settings, self.book, self.fleet, lambda: self.planner.wake())
+        self.coordinator = Coordinator(settings, self.state, self.mirror, self.dispatcher.took_up)
         self.ledger = Ledger(self.state, self.mirror, self.book, settings.state_value_bytes)
-        self.planner = Planner(settings, self.coordinator, self.book, self.fleet, self.ledger, self._types)
+        self.planner = Planner(settings, self.coordinator, self.book, self.fleet, self.ledger, self._types,
+                               self.dispatcher.send)
         self.link = PeerLink(settings, self._news, self.coordinator.told)
+        self.dispatcher.coordinator, self.dispatcher.link = self.coordinator, self.link
         self.rentals = Rentals(settings, self.coordinator, self.link, self.book, self.fleet, self.ledger,
                                self.planner)
         self.users = Users(settings, self.state, self.mirror, self.book, self.ledger, self._types,
@@ -62,11 +65,12 @@
         return time.time() - (time.monotonic() - self.state.last_contact)
 
     def _news(self) -> dict[str, Any]:
-        machines = [[m.name, m.type, m.zone, int(m.spot), 0] for m in self.fleet.all()
-                    if not m.draining and not m.releasing and self.coordinator.grant(f"{m.zone}.0")]
-        machines += [[name, "", "", 0, 1] for name in list(self.rentals.gone_news)]
+        machines = [[m.name, m.type, m.zone, int(m.spot), 0, *(m.address or ("", 0)), m.session]
+                    for m in self.fleet.all()
+                    if not m.draining and not m.releasing and self.coordinator.grant(block_of(m.zone))]
+        machines += [[name, "", "", 0, 1, "", 0, 0] for name in list(self.rentals.gone_news)]
         return {"from": self.settings.name, "state_contact": self._contact(), "machines": machines,
-                "blocks": self.coordinator.table()}
+                "held": [grant.block for grant in self.coordinator.grants()], "blocks": self.coordinator.table()}
 
     def ready(self) -> bool:
         """Whether this node can decide requests. When nobody can, staying up still serves final answers."""
@@ -107,6 +111,7 @@
         self.mirror.start()
         self.coordinator.start()
         self.link.start()
+        self.dispatcher.start()
         self.planner.start()
         self.rentals.start()
         return server
--- a/tidebend/service/ledger.py
+++ b/tidebend/service/ledger.py
@@ -58,12 +58,12 @@
                 log.debug("job %s: conflict over %s", name, conflict)
                 if any(key in conditions for key in conflict.keys):
                     return None
-                if not self.mirror.barrier(self.state.timeout):
+                if not self.mirror.barrier(self.state.timeout, "claim"):
                     raise Unavailable("no read after a conflict") from conflict
                 continue
             except Unknown:
                 # may have happened, or may still: a read shows which, and a later arrival fails on its conditions
-                self.mirror.barrier(self.state.timeout)
+                self.mirror.barrier(self.state.timeout, "claim")
                 raise
             except NoSuchLease as error:
                 raise Unavailable("no such lease") from error
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -74,9 +74,10 @@
 
 class Planner:
     def __init__(self, settings: Settings, coordinator: Coordinator, book: JobBook, fleet: Fleet, ledger: Ledger,
-                 types: Callable[[], dict[str, MachineType]]) -> None:
+                 types: Callable[[], dict[str, MachineType]], send: Callable[[set[str]], None]) -> None:
         self.settings = settings
         self.coordinator = coordinator
+        self.send = send
         self.book = book
         self.fleet = fleet
         self.ledger = ledger
@@ -121,15 +122,31 @@
             for machine in self.fleet.all():
                 if machine.unsettled and block_of(machine.zone) == grant.block:
                     self._ends_on(machine, grant, ends)
+        unwanted = set()
         for job in self.book.live():
+            if job.cancelled:
+                unwanted.update(claim.machine for claim in job.claims)
             if not job.claims and (job.cancelled or job.complete):
                 ends.setdefault(job.id, _Ends())  # its final record is missing
         for name, end in ends.items():
             conditions = dict(self.coordinator.condition(grant) for grant in end.grants)
             self.ledger.change(name, lambda job, _, end=end: job.without(end.ended, end.done), conditions)
+        self.send(unwanted)
+        self._resolve_doubts()
         if ends:
             log.debug("ends recorded for %s", ", ".join(ends))
 
+    def _resolve_doubts(self) -> None:
+        """A direct start without an answer may be executed late: a new token puts an end to that."""
+        now = time.monotonic()
+        for grant in self.coordinator.grants():
+            with self.fleet.lock:
+                doubt = any(token >= grant.token and now - at > self.settings.report_s
+                            for machine in self.fleet.machines.values() if block_of(machine.zone) == grant.block
+                            for token, at in machine.doubtful.values())
+            if doubt and now - grant.since > self.settings.report_s:
+                self.coordinator.raise_token(grant)
+
     def _ends_on(self, machine: Machine, grant: Grant, ends: dict[str, _Ends]) -> None:
         now = time.monotonic()
         with self.fleet.lock:
@@ -165,13 +182,9 @@
     def _absent(self, machine: Machine, job: Job, key: Key) -> bool:
         """Whether a task that isn't reported, and isn't wanted any more, can't be started either.
 
-        Our starts travel in answers to reports only; a later report shows that they weren't executed. Those of
-        earlier holders carry lower tokens than the one that the worker has confirmed.
+        Earlier holders' starts carry lower tokens than the one that the worker has confirmed.
         """
-        if not job.cancelled and key not in machine.stops:
-            return False
-        sent = machine.sent.get(key)
-        return sent is None or (machine.session, machine.sequence) > sent
+        return (job.cancelled or key in machine.stops) and machine.can_no_longer_start(key)
 
     def _observe(self, machine: Machine, job: Job, key: Key, why: str | None, now: float) -> None:
         since = machine.running_since.pop(key, None)
@@ -369,6 +382,7 @@
 
         new = self.ledger.change(name, edit, conditions)
         if new is not None:
+            self.send({placement.machine for placement in group})
             log.debug("claimed for %s: %s", name, [(p.machine, p.tasks) for p in group])
 
     # Room for what may preempt
@@ -381,9 +395,12 @@
             if rank == 0 or want.gang or not want.service or want.headroom < 1:
                 continue
             seen = self._waiting_since.get(want.job)
-            blocks = len(self.coordinator.table())
-            # every holder has had its turn to place it without stopping anything
-            if seen is None or now - seen[1] < (blocks + 2) * self.turn_s or want.not_before > clock:
+            blocks = sorted(self.coordinator.table())
+            # every holder has had its turn to place it without stopping anything; they take turns at that, too
+            order = sorted(blocks, key=lambda b, j=want.job: zlib.crc32(f"{j}/{b}".encode()))
+            rank_of = min((order.index(block_of(p.zone)) for p, _, _ in places.values()), default=0)
+            wait = (len(blocks) + 1) * self.turn_s + rank_of * self.settings.report_s
+            if seen is None or now - seen[1] < wait or want.not_before > clock:
                 continue
             best: tuple[float, list[tuple[Key, float]], Machine] | None = None
             need = need_of(want.spec)
@@ -403,7 +420,9 @@
                     machine.stops[key] = grace
             log.info("machine %s: %s make room for %s, %.0f s of work lost", machine.name,
                      [key[:2] for key, _ in keys], want.job, lost)
-            self._waiting_since[want.job] = (self._waiting_since[want.job][0], now)
+            self.send({machine.name})
+            # a while for the room to become free
+            self._waiting_since[want.job] = (self._waiting_since[want.job][0], now + self.settings.report_s)
 
     def _cheapest(self, machine: Machine, place: Place, need: tuple[float, float, float], rank: int,
                   now: float) -> tuple[float, list[tuple[Key, float]]] | None:
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from tidebend import protocol
-from tidebend.bookkeeping.jobs import JobBook
+from tidebend.bookkeeping.jobs import Job, JobBook, Usage
 from tidebend.bookkeeping.machines import Fleet, Machine
 from tidebend.bookkeeping.tasksets import members
 from tidebend.coordination import Coordinator, PeerLink, block_of
@@ -91,20 +91,21 @@
         for name in [n for n, at in self.gone_news.items() if now - at > 6 * self.settings.lease_s]:
             del self.gone_news[name]
         log.info("released %s", ", ".join(names))
-        for name in names:
-            self._bury(name)
+        self._bury(set(names))
         return True
 
-    def _bury(self, name: str) -> None:
-        """The cloud has confirmed that the machine is gone, and with it all that it ran or might have started."""
-        for job, _ in self.book.on_machine(name):
-            def edit(job: Any, _: Any) -> Any:
-                return job.without({(c.machine, c.session, c.attempt): c.tasks for c in job.claims
-                                    if c.machine == name}, 0)
+    def _bury(self, names: set[str]) -> None:
+        """The cloud has confirmed that machines are gone, and with them all that they ran or might have started."""
+        def edit(job: Job, _: Usage) -> Job:
+            return job.without({(c.machine, c.session, c.attempt): c.tasks for c in job.claims
+                                if c.machine in names}, 0)
+
+        for job in {job.id for name in names for job, _ in self.book.on_machine(name)}:
             try:
-                self.ledger.change(job.id, edit, {})
+                self.ledger.change(job, edit, {})
             except (Unavailable, Unknown) as error:
-                log.info("machine %s: %s", name, error)
+                log.info("job %s keeps claims on machines that are gone: %s", job, error)
+                return  # tried again by the guard
         self.planner.wake()
 
     def _guard(self) -> None:
@@ -120,9 +121,9 @@
     def _guard_once(self) -> None:
         now = time.monotonic()
         with self.fleet.lock:
-            gone = [name for name in self.book.machines() if name in self.fleet.gone]
-        for name in gone:
-            self._bury(name)  # a write that failed before
+            gone = {name for name in self.book.machines() if name in self.fleet.gone}
+        if gone:
+            self._bury(gone)  # a write that failed before
         grants = {grant.block: grant for grant in self.coordinator.grants()}
         foreign = [m.name for m in self.fleet.all() if block_of(m.zone) not in grants
                    and now - m.heard > self.settings.lease_s]
@@ -259,7 +260,7 @@
         for peer in self.link.peers.values():
             if now - peer.at > self.settings.lease_s or peer.machines is None:
                 continue
-            for name, kind, zone, spot, released in peer.machines:
+            for name, kind, zone, spot, released, *_ in peer.machines:
                 if released:
                     gone.add(name)
                 else:
@@ -269,6 +270,10 @@
     def _rent(self, term: int, listed: dict[str, ListedMachine]) -> None:
         now, clock = time.monotonic(), time.time()
         heard, gone = self._fleets()
+        witnessed = {grant.block for grant in self.coordinator.grants()}
+        for peer in self.link.peers.values():
+            if now - peer.at < 3.0 * self.link.pause:
+                witnessed |= peer.blocks
         lag = 2.0 * self.settings.list_lag_s
         failed = [name for name, row in listed.items() if row.state == "failed" and name not in gone]
         for name, row in listed.items():
@@ -287,9 +292,13 @@
                 continue
             boot = kind.boot_s if kind else self.settings.lease_s
             if row is not None and row.state == "running":
-                # up by the list, but nobody hears it
+                # Up by the list, but nobody hears it. Whether that is so only its block's holder can tell: without
+                # fresh news of the holder nothing follows from our not knowing.
+                if block_of(known.zone) not in witnessed:
+                    self._strangers.pop(name, None)
+                    continue
                 since = self._strangers.setdefault(name, now)
-                if now - since > 2.0 * self.settings.lease_s and now - self._lead_since[1] > self.settings.lease_s:
+                if now - since > 2.0 * self.settings.lease_s:
                     late.append(name)
             elif now - known.since > 3.0 * boot + lag:
                 late.append(name)
--- a/tidebend/service/workers.py
+++ b/tidebend/service/workers.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import logging
+import queue
+import threading
 import time
 from collections.abc import Callable
 
 from tidebend import protocol
 from tidebend.bookkeeping.jobs import JobBook
 from tidebend.bookkeeping.machines import Fleet, orders
-from tidebend.coordination import Coordinator, block_of
+from tidebend.coordination import Coordinator, Grant, PeerLink, block_of
 from tidebend.protocol import Invalid
 from tidebend.service.users import parse_body, unsure
 from tidebend.settings import Settings
 from tidebend.storage import StateClient
-from tidebend.transport import Reply
+from tidebend.transport import HttpClient, NoAnswer, Reply, Unreachable
 
 log = logging.getLogger("workers")
 
@@ -55,11 +57,127 @@
             seen = {key: task.state for key, task in before.tasks.items()} if before else None
             machine = self.fleet.heard(report)
             if machine is None:
-                return unsure("not the newest report")
+                return unsure("a late report")
             changed = seen != {key: task.state for key, task in machine.tasks.items()}
             commands = []
             if self.coordinator.lease_valid:
-                commands = orders(machine, self.book.on_machine(machine.name), grant.token)[:MOST_COMMANDS]
+                commands = orders(machine, self.book.on_machine(machine.name), grant.token,
+                                  direct=False)[:MOST_COMMANDS]
         if changed:
             self.wake()
         return Reply(200, protocol.report_answer(grant.token, commands))
+
+
+class Dispatcher:
+    """Direct commands: starts and stops reach a worker at once, not only with its next report."""
+
+    THREADS = 3
+
+    def __init__(self, settings: Settings, book: JobBook, fleet: Fleet, wake: Callable[[], None]) -> None:
+        self.settings = settings
+        self.book = book
+        self.fleet = fleet
+        self.wake = wake
+        self.coordinator: Coordinator
+        self.link: PeerLink
+        self._queue: queue.Queue[tuple[str, str, tuple[str, int], int]] = queue.Queue(maxsize=256)
+        self._queued: set[str] = set()
+        self._clients: dict[tuple[str, int], HttpClient] = {}
+        self._lock = threading.Lock()
+        self._timeout = min(2.0, settings.report_s)
+
+    def start(self) -> None:
+        for number in range(self.THREADS):
+            threading.Thread(target=self._run, name=f"dispatch-{number}", daemon=True).start()
+
+    def send(self, names: set[str]) -> None:
+        """Have the recorded claims and stops of these machines carried out; a full queue leaves it to reports."""
+        for name in names:
+            with self.fleet.lock:
+                machine = self.fleet.machines.get(name)
+                if machine is None or machine.address is None:
+                    continue
+                row = (name, machine.zone, machine.address, machine.session)
+            self._put(row)
+
+    def _put(self, row: tuple[str, str, tuple[str, int], int]) -> None:
+        with self._lock:
+            if row[0] in self._queued:
+                return
+            self._queued.add(row[0])
+        try:
+            self._queue.put_nowait(row)
+        except queue.Full:
+            with self._lock:
+                self._queued.discard(row[0])
+
+    def took_up(self, grant: Grant) -> None:
+        """A block has become ours: let the workers that peers and we ourselves know there learn the token."""
+        rows = {m.name: (m.name, m.zone, m.address, m.session) for m in self.fleet.all()
+                if block_of(m.zone) == grant.block and m.address is not None}
+        for peer in self.link.peers.values():
+            for name, _, zone, _, released, host, port, session in peer.machines or ():
+                if not released and block_of(zone) == grant.block and host:
+                    rows.setdefault(name, (name, zone, (host, port), session))
+        for row in rows.values():
+            self._put(row)
+
+    def _run(self) -> None:
+        while True:
+            name, zone, address, session = self._queue.get()
+            with self._lock:
+                self._queued.discard(name)
+                client = self._clients.get(address)
+                if client is None:
+                    if len(self._clients) > 200:
+                        self._clients.clear()
+                    client = self._clients[address] = HttpClient(address, keep=1)
+            try:
+                self._deliver(name, zone, session, client)
+            except Exception:
+                log.exception("direct commands to %s", name)
+
+    def _deliver(self, name: str, zone: str, session: int, client: HttpClient) -> None:
+        grant = self.coordinator.grant(block_of(zone))
+        if grant is None or not self.coordinator.lease_valid:
+            return
+        with self.fleet.lock:
+            machine = self.fleet.machines.get(name)
+            commands = []
+            if machine is not None:
+                session = machine.session
+                if machine.token <= grant.token:
+                    commands = orders(machine, self.book.on_machine(name), grant.token, direct=True)[:MOST_COMMANDS]
+                if not commands and machine.token >= grant.token:
+                    return
+        mine = {(c.job, c.index, c.attempt) for c in commands if c.op == "start"}
+        path, body = protocol.direct_commands(grant.token, session, commands)
+        try:
+            status, answer = client.request("POST", path, body, self._timeout)
+        except Unreachable:
+            self._settled(name, mine, grant.token)
+            return
+        except NoAnswer as error:
+            log.info("direct commands to %s: %s", name, error)
+            return  # they may be executed yet: the starts stay doubtful
+        if status not in (200, 409):
+            log.error("machine %s: unexpected %s to direct commands", name, status)
+            return
+        try:
+            report = protocol.parse_report(answer)
+        except Invalid as error:
+            log.error("machine %s: unexpected answer: %s", name, error)
+            return
+        with self.fleet.lock:
+            machine = self.fleet.heard(report, direct=True)
+        self._settled(name, mine, grant.token)
+        if machine is not None:
+            self.wake()
+
+    def _settled(self, name: str, starts: set[tuple[str, int, int]], token: int) -> None:
+        """The outcome of these starts is known: carried out or never."""
+        with self.fleet.lock:
+            machine = self.fleet.machines.get(name)
+            for key in starts if machine else ():
+                if machine.doubtful.get(key, (0, 0.0))[0] == token:
+                    del machine.doubtful[key]
--- a/tidebend/storage/__init__.py
+++ b/tidebend/storage/__init__.py
@@ -174,6 +174,7 @@
         self._revision = 0
         self._read = threading.Condition()
         self._wanted = self._begun = self._succeeded = self._failed = 0
+        self._kind = "poll"  # the best of the kinds that wait for the next read
 
     def start(self) -> None:
         threading.Thread(target=self._watch, name="watch", daemon=True).start()
@@ -254,8 +255,9 @@
                     self._read.wait()
                 self._begun += 1
                 number = self._begun
+                kind, self._kind = self._kind, "poll"
             try:
-                self._catch_up(0.0, "poll")
+                self._catch_up(0.0, kind)
                 fine = True
             except (Unavailable, Unknown) as error:
                 log.debug("barrier: %s", error)
@@ -267,12 +269,14 @@
                     self._failed = number
                 self._read.notify_all()
 
-    def barrier(self, timeout: float) -> bool:
+    def barrier(self, timeout: float, kind: str = "poll") -> bool:
         """Bring the cache up to a read begun after this call; reads are shared by those who wait."""
         deadline = time.monotonic() + timeout
         with self._read:
             number = self._begun + 1
             self._wanted = max(self._wanted, number)
+            if FLOORS[kind] < FLOORS[self._kind]:
+                self._kind = kind
             self._read.notify_all()
             while self._succeeded < number and self._failed < number:
                 left = deadline - time.monotonic()
--- a/tidebend/transport/__init__.py
+++ b/tidebend/transport/__init__.py
@@ -245,7 +245,11 @@
 
 
 class FrameServer(socketserver.ThreadingMixIn, socketserver.TCPServer):
-    """The peers' link: each connection carries one-way frames."""
+    """The peers' link: frames come in, and each is acknowledged.
+
+    The acknowledgement guards against a connection that died in a cut: without it a sender would go on filling
+    its buffer for minutes, believing that it is heard.
+    """
 
     daemon_threads = True
     block_on_close = False
@@ -258,6 +262,7 @@
                 try:
                     while True:
                         receive(receive_frame(self.request))
+                        send_frame(self.request, True)
                 except OSError:
                     return
 
