Scenarios on a virtual clock, an independent rule checker, planted breaches

Preemption no longer delays the very job it makes room for: its hold-off was kept in the table of turns.

--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,40 @@
+"""The rule checker catches a planted breach of each rule."""
+
+import pytest
+
+from tests.checker import breaches
+from tests.test_scenarios import JOB
+
+TEAMS = [{"name": "team", "cpus_max": 10.0}]
+JOBS = {"req-a": {"id": "req-a", **JOB, "pieces": 4, "driftwood": False, "spread": True}}
+ASKED = (0.0, "asked", "submit", "req-a", {})
+TAKEN = (0.1, "told", "submit", "req-a", 201, "queued")
+
+
+def on(at, task, machine="m1", zone="north", spot=False):
+    return (at, "on", f"req-a/{task}", 1, machine, zone, "box", spot)
+
+
+PLANTED = {
+    "ran_twice": [ASKED, TAKEN, on(1.0, 0), on(2.0, 0, "m2")],
+    "quota": [ASKED, TAKEN, on(1.0, 0), on(1.0, 1), on(1.0, 2, "m3", "south")],
+    "wrong_place": [ASKED, TAKEN, on(1.0, 0, spot=True)],
+    "ran_cancelled": [ASKED, TAKEN, on(1.0, 0), (2.0, "asked", "cancel", "req-a", None),
+                      (2.1, "told", "cancel", "req-a", 200, "withdrawn"), (40.0, "told", "poll", "req-b", 404, None)],
+    "forgotten": [ASKED, TAKEN, on(1.0, 0), (2.0, "told", "poll", "req-a", 404, None)],
+    "invented": [ASKED, TAKEN, on(1.0, 0), (2.0, "told", "poll", "req-b", 200, "queued")],
+    "not_done": [ASKED, TAKEN, on(1.0, 0), (2.0, "told", "poll", "req-a", 200, "done")],
+    "went_back": [ASKED, TAKEN, on(1.0, 0), (2.0, "asked", "cancel", "req-a", None),
+                  (2.1, "told", "cancel", "req-a", 200, "withdrawn"), (3.0, "told", "poll", "req-a", 200, "running")],
+    "nothing_ran": [ASKED, TAKEN],
+}
+
+
+@pytest.mark.parametrize("rule", PLANTED)
+def test_planted_breach_is_caught(rule):
+    assert rule in [found[0] for found in breaches(PLANTED[rule], JOBS, TEAMS, 35.0, {})]
+
+
+def test_a_clean_log_is_clean():
+    log = [ASKED, TAKEN, on(1.0, 0), on(1.0, 1, "m2", "south"), (9.0, "off", "req-a/0", 1, "m1", "north", "box", False)]
+    assert breaches(log, JOBS, TEAMS, 35.0, {}) == []
--- a/tidebend/coordination/__init__.py
+++ b/tidebend/coordination/__init__.py
@@ -72,21 +72,28 @@
         pause = self._lease_s / 4.0
         while True:
             began = time.monotonic()
-            try:
-                if self.lease is None or not self.state.extend_lease(self.lease):
-                    if self.lease is not None:
-                        log.info("lease %s has ended", self.lease)
-                    self.lease = self.state.grant_lease(self._lease_s)
-                    self._announce()
-                # drift: clocks may run fast by 0.05%, so a lease is trusted a little less long
-                self.lease_until = began + self._lease_s * 0.999
-            except NoSuchLease:
-                self.lease = None
-            except FAILURES as error:
-                log.info("lease: %s", error)
+            if self.keep_lease():
+                time.sleep(max(0.0, pause - (time.monotonic() - began)))
+            else:
                 time.sleep(random.uniform(0.3, 0.7) * pause)
-                continue
-            time.sleep(max(0.0, pause - (time.monotonic() - began)))
+
+    def keep_lease(self) -> bool:
+        began = time.monotonic()
+        try:
+            if self.lease is None or not self.state.extend_lease(self.lease):
+                if self.lease is not None:
+                    log.info("lease %s has ended", self.lease)
+                self.lease = self.state.grant_lease(self._lease_s)
+                self._announce()
+        except NoSuchLease:
+            self.lease = None
+            return False
+        except FAILURES as error:
+            log.info("lease: %s", error)
+            return False
+        # drift: clocks may run fast by 0.05%, so a lease is trusted a little less long
+        self.lease_until = began + self._lease_s * 0.999
+        return True
 
     def _announce(self) -> None:
         value = {"lease": self.lease, "zone": self.settings.zone, "unfit": int(self.unfit)}
@@ -166,14 +173,17 @@
         while True:
             self.wake.wait(self._lease_s / 10.0)
             self.wake.clear()
-            if not self.mirror.loaded.is_set():
-                continue
-            try:
-                self._take_up()
-                self._lead()
-            except FAILURES as error:
-                log.info("blocks: %s", error)
-                time.sleep(random.uniform(0.02, 0.1) * self._lease_s)
+            self.tend_blocks()
+
+    def tend_blocks(self) -> None:
+        if not self.mirror.loaded.is_set():
+            return
+        try:
+            self._take_up()
+            self._lead()
+        except FAILURES as error:
+            log.info("blocks: %s", error)
+            time.sleep(random.uniform(0.02, 0.1) * self._lease_s)
 
     def _take_up(self) -> None:
         """Notice grants and losses; after a restart, take our own blocks back at once."""
@@ -313,12 +323,12 @@
         self.peers: dict[str, PeerNews] = {peer.name: PeerNews() for peer in settings.peers}
 
     def start(self) -> None:
-        server = FrameServer(self.settings.peer_listen, self._receive, 10.0 * self.pause)
+        server = FrameServer(self.settings.peer_listen, self.receive, 10.0 * self.pause)
         threading.Thread(target=server.serve_forever, name="peers", daemon=True).start()
         for peer in self.settings.peers:
             threading.Thread(target=self._send, args=(peer,), name=f"to-{peer.name}", daemon=True).start()
 
-    def _receive(self, frame: Any) -> None:
+    def receive(self, frame: Any) -> None:
         if not isinstance(frame, dict):
             return
         news = self.peers.get(frame.get("from", ""))
--- a/tidebend/service/__init__.py
+++ b/tidebend/service/__init__.py
@@ -20,7 +20,7 @@
 from tidebend.service.workers import Dispatcher, Workers
 from tidebend.settings import Settings
 from tidebend.storage import LIVE, Mirror, StateClient
-from tidebend.transport import Reply, Server
+from tidebend.transport import HttpClient, Reply, Server
 
 log = logging.getLogger("service")
 
@@ -29,23 +29,23 @@
 
 
 class Controller:
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, connect: Callable[..., HttpClient] = HttpClient) -> None:
         self.settings = settings
         lock = threading.RLock()
         self.state = StateClient(settings.state, settings.state_rps, settings.state_write_rps,
-                                 settings.controllers, timeout=max(0.6, settings.controller_lease_s / 4.0))
+                                 settings.controllers, max(0.6, settings.controller_lease_s / 4.0), connect)
         self.book = JobBook(lock, KEEP_FINALS)
         self.mirror = Mirror(self.state, self._changed, lock, watch_s=settings.lease_s)
         self.fleet = Fleet()
-        self.dispatcher = Dispatcher(settings, self.book, self.fleet, lambda: self.planner.wake())
+        self.dispatcher = Dispatcher(settings, self.book, self.fleet, lambda: self.planner.wake(), connect)
         self.coordinator = Coordinator(settings, self.state, self.mirror, self.dispatcher.took_up)
         self.ledger = Ledger(self.state, self.mirror, self.book, settings.state_value_bytes)
         self.planner = Planner(settings, self.coordinator, self.book, self.fleet, self.ledger, self._types,
                                self.dispatcher.send)
-        self.link = PeerLink(settings, self._news, self.coordinator.told)
+        self.link = PeerLink(settings, self.news, self.coordinator.told)
         self.dispatcher.coordinator, self.dispatcher.link = self.coordinator, self.link
         self.rentals = Rentals(settings, self.coordinator, self.link, self.book, self.fleet, self.ledger,
-                               self.planner)
+                               self.planner, connect)
         self.users = Users(settings, self.state, self.mirror, self.book, self.ledger, self._types,
                            self.planner.wake)
         self.workers = Workers(settings, self.state, self.book, self.fleet, self.coordinator, self.planner.wake)
@@ -64,7 +64,7 @@
         """Time of day of the last contact with the state service."""
         return time.time() - (time.monotonic() - self.state.last_contact)
 
-    def _news(self) -> dict[str, Any]:
+    def news(self) -> dict[str, Any]:
         machines = [[m.name, m.type, m.zone, int(m.spot), 0, *(m.address or ("", 0)), m.session]
                     for m in self.fleet.all()
                     if not m.draining and not m.releasing and self.coordinator.grant(block_of(m.zone))]
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -86,6 +86,7 @@
         self.setbacks: dict[str, Setback] = {}
         self.event = threading.Event()
         self._waiting_since: dict[str, tuple[int, float]] = {}  # job -> (pending bitmap, steady time)
+        self._making_room: dict[str, float] = {}  # job -> steady time until which stopped tasks may take to end
         # a service without an estimate counts as long as a worker's lease when values are compared
         self.nominal_s = settings.lease_s
         self.suspect_s = max(2.2 * settings.report_s, settings.lease_s * settings.knobs.suspect_after)
@@ -318,6 +319,7 @@
         jobs = {job.id: job for job in self.book.live() if job.pending}
         for name in [name for name in self._waiting_since if name not in jobs]:
             del self._waiting_since[name]
+            self._making_room.pop(name, None)
         places = self.places(now, clock) if jobs else None
         if not places:
             return
@@ -400,6 +402,8 @@
             order = sorted(blocks, key=lambda b, j=want.job: zlib.crc32(f"{j}/{b}".encode()))
             rank_of = min((order.index(block_of(p.zone)) for p, _, _ in places.values()), default=0)
             wait = (len(blocks) + 1) * self.turn_s + rank_of * self.settings.report_s
+            if now < self._making_room.get(want.job, 0.0):
+                continue
             if seen is None or now - seen[1] < wait or want.not_before > clock:
                 continue
             best: tuple[float, list[tuple[Key, float]], Machine] | None = None
@@ -421,8 +425,7 @@
             log.info("machine %s: %s make room for %s, %.0f s of work lost", machine.name,
                      [key[:2] for key, _ in keys], want.job, lost)
             self.send({machine.name})
-            # a while for the room to become free
-            self._waiting_since[want.job] = (self._waiting_since[want.job][0], now + self.settings.report_s)
+            self._making_room[want.job] = now + 2.0 * self.settings.report_s
 
     def _cheapest(self, machine: Machine, place: Place, need: tuple[float, float, float], rank: int,
                   now: float) -> tuple[float, list[tuple[Key, float]]] | None:
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -6,6 +6,7 @@
 import random
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -42,7 +43,7 @@
 
 class Rentals:
     def __init__(self, settings: Settings, coordinator: Coordinator, link: PeerLink, book: JobBook, fleet: Fleet,
-                 ledger: Ledger, planner: Planner) -> None:
+                 ledger: Ledger, planner: Planner, connect: Callable[..., HttpClient] = HttpClient) -> None:
         self.settings = settings
         self.coordinator = coordinator
         self.link = link
@@ -51,14 +52,14 @@
         self.ledger = ledger
         self.planner = planner
         self.types: dict[str, MachineType] = {}
-        self._http = HttpClient(settings.cloud, keep=2)
+        self._http = connect(settings.cloud, keep=2)
         # the leader rents and lists; every holder releases
         self._budget = Budget(settings.cloud_rps)
         self._timeout = max(2.0, settings.lease_s / 3.0)
         self._known: dict[str, Rented] = {}
         self._shortage: dict[Offer, float] = {}  # offer -> steady time until which it isn't asked for again
         self._counter = 0
-        self._probed: dict[str, float] = {}
+        self._types_at = -1e9
         self._strangers: dict[str, float] = {}
         self._lead_since: tuple[int | None, float] = (None, 0.0)
         self.gone_news: dict[str, float] = {}
@@ -100,7 +101,7 @@
             return job.without({(c.machine, c.session, c.attempt): c.tasks for c in job.claims
                                 if c.machine in names}, 0)
 
-        for job in {job.id for name in names for job, _ in self.book.on_machine(name)}:
+        for job in sorted({job.id for name in names for job, _ in self.book.on_machine(name)}):
             try:
                 self.ledger.change(job, edit, {})
             except (Unavailable, Unknown) as error:
@@ -113,12 +114,12 @@
         while True:
             time.sleep(pause * random.uniform(0.8, 1.2))
             try:
-                self._guard_once()
+                self.guard_once()
             except Exception:
                 log.exception("guard")
                 time.sleep(1.0)
 
-    def _guard_once(self) -> None:
+    def guard_once(self) -> None:
         now = time.monotonic()
         with self.fleet.lock:
             gone = {name for name in self.book.machines() if name in self.fleet.gone}
@@ -147,14 +148,13 @@
                 # we hear nobody there: another controller may
                 log.info("block %s: none of %d machines is heard", block, total)
                 self.coordinator.set_unfit(2.0 * self.settings.lease_s)
-            self._silent(silent, total, own, now)
+            self._silent(silent, total, now)
             self._spare(own, now)
 
-    def _silent(self, silent: dict[str, float], total: int, own: list[Machine], now: float) -> None:
+    def _silent(self, silent: dict[str, float], total: int, now: float) -> None:
         """Release what is out of reach: only then its tasks may be started elsewhere."""
         # If most are silent the network is to blame rather than they, and they may go on working on their side.
         patience = self.settings.lease_s * (0.55 if 2 * len(silent) <= max(total, 2) else 2.0)
-        addresses = {m.name: m.address for m in own}
         doomed = []
         for name, since in silent.items():
             wanted = {job.id: job for job, _ in self.book.on_machine(name)}
@@ -162,8 +162,6 @@
             limit = min(patience, self.settings.lease_s) if cancelled else patience
             if now - since > limit:
                 doomed.append(name)
-            elif addresses.get(name) and now - self._probed.get(name, 0.0) > self.settings.lease_s / 2.0:
-                self._probed[name] = now
         if doomed:
             self.release(doomed[:100])
 
@@ -209,33 +207,35 @@
 
     def _lead(self) -> None:
         pause = max(1.0, 1.5 / self.settings.cloud_rps)
-        types_at = -1e9
         while True:
             time.sleep(pause * random.uniform(0.9, 1.1))
             try:
-                now = time.monotonic()
-                refresh = 10.0 * self.settings.lease_s if self.coordinator.term else 1e9
-                if not self.types or now - types_at > refresh:
-                    answer = self._call("GET", protocol.PATH_TYPES, None)
-                    if answer is not None and answer[0] == 200:
-                        self.types = protocol.parse_types(answer[1])
-                        types_at = now
-                term = self.coordinator.term
-                if term is None or not self.types:
-                    self._lead_since = (None, 0.0)
-                    continue
-                if self._lead_since[0] != term:
-                    self._lead_since = (term, now)
-                    self._counter = 0
-                listed = self._list()
-                if listed is not None:
-                    self._rent(term, listed)
+                self.lead_once()
             except Invalid as error:
                 log.error("cloud: unexpected answer: %s", error)
             except Exception:
                 log.exception("rentals")
                 time.sleep(1.0)
 
+    def lead_once(self) -> None:
+        now = time.monotonic()
+        term = self.coordinator.term
+        # every controller must know the types to decide submissions; only the leader needs current prices
+        if not self.types or (term and now - self._types_at > 10.0 * self.settings.lease_s):
+            answer = self._call("GET", protocol.PATH_TYPES, None)
+            if answer is not None and answer[0] == 200:
+                self.types = protocol.parse_types(answer[1])
+                self._types_at = now
+        if term is None or not self.types:
+            self._lead_since = (None, 0.0)
+            return
+        if self._lead_since[0] != term:
+            self._lead_since = (term, now)
+            self._counter = 0
+        listed = self._list()
+        if listed is not None:
+            self._rent(term, listed)
+
     def _list(self) -> dict[str, ListedMachine] | None:
         found: dict[str, ListedMachine] = {}
         after = ""
@@ -308,7 +308,7 @@
             return
         capacities = []
         booting = 0
-        for name in set(self._known) | set(heard):
+        for name in sorted(set(self._known) | set(heard)):
             known = heard.get(name) or self._known[name]
             kind = self.types.get(known.type)
             if kind is None or name in late or name in gone:
--- a/tidebend/service/workers.py
+++ b/tidebend/service/workers.py
@@ -73,11 +73,13 @@
 
     THREADS = 3
 
-    def __init__(self, settings: Settings, book: JobBook, fleet: Fleet, wake: Callable[[], None]) -> None:
+    def __init__(self, settings: Settings, book: JobBook, fleet: Fleet, wake: Callable[[], None],
+                 connect: Callable[..., HttpClient] = HttpClient) -> None:
         self.settings = settings
         self.book = book
         self.fleet = fleet
         self.wake = wake
+        self._connect = connect
         self.coordinator: Coordinator
         self.link: PeerLink
         self._queue: queue.Queue[tuple[str, str, tuple[str, int], int]] = queue.Queue(maxsize=256)
@@ -92,7 +94,7 @@
 
     def send(self, names: set[str]) -> None:
         """Have the recorded claims and stops of these machines carried out; a full queue leaves it to reports."""
-        for name in names:
+        for name in sorted(names):
             with self.fleet.lock:
                 machine = self.fleet.machines.get(name)
                 if machine is None or machine.address is None:
@@ -124,18 +126,26 @@
 
     def _run(self) -> None:
         while True:
-            name, zone, address, session = self._queue.get()
-            with self._lock:
-                self._queued.discard(name)
-                client = self._clients.get(address)
-                if client is None:
-                    if len(self._clients) > 200:
-                        self._clients.clear()
-                    client = self._clients[address] = HttpClient(address, keep=1)
             try:
-                self._deliver(name, zone, session, client)
+                self.deliver_next(block=True)
             except Exception:
-                log.exception("direct commands to %s", name)
+                log.exception("direct commands")
+
+    def deliver_next(self, block: bool) -> bool:
+        """False if there was nothing to send."""
+        try:
+            name, zone, address, session = self._queue.get(block)
+        except queue.Empty:
+            return False
+        with self._lock:
+            self._queued.discard(name)
+            client = self._clients.get(address)
+            if client is None:
+                if len(self._clients) > 200:
+                    self._clients.clear()
+                client = self._clients[address] = self._connect(address, keep=1)
+        self._deliver(name, zone, session, client)
+        return True
 
     def _deliver(self, name: str, zone: str, session: int, client: HttpClient) -> None:
         grant = self.coordinator.grant(block_of(zone))
--- a/tidebend/storage/__init__.py
+++ b/tidebend/storage/__init__.py
@@ -49,8 +49,8 @@
 
 class StateClient:
     def __init__(self, address: tuple[str, int], rps: float, write_rps: float, controllers: int,
-                 timeout: float) -> None:
-        self._http = HttpClient(address, keep=6)
+                 timeout: float, connect: Callable[..., HttpClient] = HttpClient) -> None:
+        self._http = connect(address, keep=6)
         # A controller's share is more than an equal one, since the others seldom use theirs in the same second;
         # when they do, the service refuses, which is safe, and the refused back off.
         share = min(1.0, 1.8 / controllers)
@@ -228,7 +228,7 @@
             self._revision = max(self._revision, first)
         self.loaded.set()
 
-    def _catch_up(self, wait_s: float, kind: str) -> None:
+    def catch_up(self, wait_s: float, kind: str) -> None:
         with self.lock:
             revision = self._revision
         result = self.state.changes(PREFIX, revision, wait_s, kind) if self.loaded.is_set() else None
@@ -243,7 +243,7 @@
     def _watch(self) -> None:
         while True:
             try:
-                self._catch_up(self._watch_s, "claim")
+                self.catch_up(self._watch_s, "claim")
             except (Unavailable, Unknown) as error:
                 log.info("watch: %s", error)
                 time.sleep(random.uniform(0.05, 0.15) * self._watch_s)
@@ -257,7 +257,7 @@
                 number = self._begun
                 kind, self._kind = self._kind, "poll"
             try:
-                self._catch_up(0.0, kind)
+                self.catch_up(0.0, kind)
                 fine = True
             except (Unavailable, Unknown) as error:
                 log.debug("barrier: %s", error)
