--- a/tidebend/coordination/__init__.py
+++ b/tidebend/coordination/__init__.py
@@ -57,7 +57,7 @@
         self._held: dict[str, Grant] = {}
         self._outbid: dict[str, tuple[int, str]] = {}  # block -> (token, holder) as peers tell it
         self._lock = threading.Lock()
-        self._unfit_until = 0.0
+        self._unheard: dict[str, float] = {}  # block -> steady time until which we would rather not hold it
         self._nodes_since: dict[str, float] = {}
         self._block_missing: dict[str, float] = {}
         self.wake = threading.Event()
@@ -80,6 +80,8 @@
     def keep_lease(self) -> bool:
         began = time.monotonic()
         try:
+            if self._unheard and min(self._unheard.values()) < began:
+                self._announce()
             if self.lease is None or not self.state.extend_lease(self.lease):
                 if self.lease is not None:
                     log.info("lease %s has ended", self.lease)
@@ -96,24 +98,28 @@
         return True
 
     def _announce(self) -> None:
-        value = {"lease": self.lease, "zone": self.settings.zone, "unfit": int(self.unfit)}
+        now = time.monotonic()
+        self._unheard = {block: until for block, until in self._unheard.items() if until > now}
+        value = {"lease": self.lease, "zone": self.settings.zone, "unheard": sorted(self._unheard)}
         self.state.transact({}, [(NODE + self.settings.name, value, self.lease)], "lease")
 
     @property
     def lease_valid(self) -> bool:
         return time.monotonic() < self.lease_until
 
-    @property
-    def unfit(self) -> bool:
-        return time.monotonic() < self._unfit_until
-
-    def set_unfit(self, seconds: float) -> None:
-        """We hear none of our machines: somebody else should hold their blocks for a while."""
-        self._unfit_until = time.monotonic() + seconds
+    def unheard(self, block: str, seconds: float) -> None:
+        """We hear none of a block's machines: another controller may, and should hold it for a while."""
+        if block in self._unheard:
+            return
+        self._unheard[block] = time.monotonic() + seconds
         try:
             self._announce()
         except FAILURES as error:
-            log.info("unfit: %s", error)
+            log.info("block %s: %s", block, error)
+
+    def heard_by_nobody(self, block: str) -> bool:
+        """Whether every live controller has tried and hears none of the block's machines."""
+        return all(block in value.get("unheard", ()) for value, _ in self.mirror.under(NODE).values())
 
     # Blocks
 
@@ -243,7 +249,7 @@
     def _lead(self) -> None:
         value, version = self.mirror.get(LEADER)
         if value is None or (value["node"] == self.settings.name and value["lease"] != self.lease):
-            if self.lease is None or not self.lease_valid or self.unfit:
+            if self.lease is None or not self.lease_valid:
                 return
             if value is None:
                 time.sleep(random.uniform(0, 0.05) * self._lease_s)
@@ -274,22 +280,22 @@
             holder = value["holder"] if value else None
             zone = zone_of(block)
 
-            def rank(name: str, zone: str = zone) -> tuple:
-                return (bool(nodes[name].get("unfit")), held[name] - (nodes[name]["zone"] == zone) * 0.5, name)
+            def rank(name: str, block: str = block, zone: str = zone) -> tuple:
+                # who can hear the block's machines; who is in its zone; who has least
+                return block in nodes[name].get("unheard", ()), nodes[name]["zone"] != zone, held[name], name
 
             if not nodes:
                 return
             best = min(nodes, key=rank)
             if holder is None:
-                # an own block whose lease just ended may be coming back; a holder that is gone is replaced at once
                 self._give(block, version, best, nodes, held, None)
             elif holder != best and holder in nodes:
+                unheard, abroad, load, _ = rank(holder)
+                better = rank(best)
                 settled = now - self._nodes_since[best] > self._lease_s
-                unfit = nodes[holder].get("unfit") and not nodes[best].get("unfit")
-                uneven = held[holder] - held[best] >= 2 and not nodes[best].get("unfit")
-                home = (nodes[best]["zone"] == zone != nodes[holder]["zone"] and held[holder] > held[best]
-                        and not nodes[best].get("unfit"))
-                if unfit or (settled and (uneven or home)):
+                if (unheard and not better[0]) or (
+                        settled and not better[0] and (abroad and not better[1] or load - better[2] >= 2
+                                                       and abroad == better[1])):
                     self._give(block, version, best, nodes, held, holder)
 
     def _give(self, block: str, version: int, name: str, nodes: dict[str, Any], held: dict[str, int],
--- a/tidebend/provisioning/__init__.py
+++ b/tidebend/provisioning/__init__.py
@@ -48,12 +48,13 @@
     machines: int
 
 
-def _side_by_side(want: Want, now: float, boot_s: float) -> int:
+def _side_by_side(want: Want, now: float) -> int:
     """How many of the waiting tasks must run at a time for the job to make its soft deadline."""
     if want.service or want.spec.kind == "gang":
         return want.waiting
-    left = want.value.soft - now - boot_s
-    turns = max(1, math.floor(left / max(want.estimate, 0.1)))
+    left = want.value.soft - now
+    # estimates are often wrong by half: count on tasks that take that much longer
+    turns = max(1, math.floor(left / max(1.5 * want.estimate, 0.1)))
     return math.ceil(want.waiting / turns)
 
 
@@ -71,7 +72,7 @@
                    and offer.zone in offer.type.zones and want.spec.zone in (None, offer.zone)
                    and want.zone_room(offer.zone) > 0 and not (want.keeps_off_gpus and offer.type.gpus > 0)]
         boot_s = min((offer.type.boot_s for offer in allowed), default=0.0)
-        missing = min(_side_by_side(want, now, 0.0), want.headroom, want.waiting)
+        missing = min(_side_by_side(want, now), want.headroom, want.waiting)
         slack = max(0.0, want.value.soft - now - want.estimate) if not want.service else 0.0
         for capacity in capacities:
             if missing <= 0:
--- a/tidebend/scheduling/__init__.py
+++ b/tidebend/scheduling/__init__.py
@@ -171,6 +171,7 @@
     headroom: int = 1_000_000  # tasks that the team's limit still allows
     reserved: bool = False  # past its soft deadline: keeps a standing reservation
     not_before: float = 0.0
+    share: float = 1.0  # the largest of a machine that a task takes
     keeps_off_gpus: bool = False  # it can run without them, and so leaves them to those that can't
 
     @property
@@ -201,15 +202,14 @@
     now: bool  # starts now; otherwise a place-holder
 
 
-def resource(spec: JobSpec, kind: MachineType, spot: bool, estimate: float) -> float:
-    """Estimate times the largest share of the machine's amounts, weighed by what the machine costs.
+def largest_share(spec: JobSpec, kinds: list[MachineType]) -> float:
+    """A task's largest share of the most CPUs, GPUs or memory that any machine has.
 
-    The paper counts cores, which are alike in all its clusters. Ours differ in price: without the weight the
-    largest machines, of which a task takes the smallest share, would always seem to be the cheapest.
+    The paper counts cores, which are alike in all its clusters. A share of the very machine at hand would make
+    large machines look cheap, and tasks wait for room there while others idle.
     """
-    share = max(spec.cpus / kind.cpus if kind.cpus > 0 else 0.0, spec.gpus / kind.gpus if kind.gpus > 0 else 0.0,
-                spec.memory_gb / kind.memory_gb if kind.memory_gb > 0 else 0.0, EPSILON)
-    return max(estimate * share * max(kind.spot_price if spot else kind.price, EPSILON), EPSILON)
+    most = [max((getattr(kind, part) for kind in kinds), default=0.0) for part in ("cpus", "gpus", "memory_gb")]
+    return max([EPSILON] + [need / have for need, have in zip(need_of(spec), most, strict=True) if have > 0])
 
 
 def _allowed(want: Want, place: Place) -> bool:
@@ -237,11 +237,15 @@
     finish = start + length
     if finish > place.until:
         return None
-    worth = want.value.start if want.service else want.value.at(finish)
+    rate = want.value.at(finish) / max(want.estimate * want.share, EPSILON)
+    if want.service:
+        # every second that a replica isn't up is lost, so that its earliest slot is worth the most
+        rate = want.value.start - (finish - want.estimate - now)
     gaps, gap = place.timeline.gap(start, finish, need)
     free = place.timeline.free[0]
     left = free[0] / max(place.type.cpus, EPSILON) + free[2] / max(place.type.memory_gb, EPSILON)
-    rate = worth / resource(want.spec, place.type, place.spot, want.estimate)
+    # machines that may be taken are for those that can bear it
+    left += want.spec.spot and not place.spot
     return -rate, round(finish, 3), gaps, gap, left, place.name, start
 
 
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -21,6 +21,7 @@
     Timeline,
     Want,
     is_reserved,
+    largest_share,
     map_tasks,
     need_of,
     times_fit,
@@ -300,6 +301,7 @@
         return Want(job.id, spec, value, estimate, pending.bit_count(), job.per_zone(), headroom,
                     not service and is_reserved(value, clock),
                     clock + max(0.0, setback.not_before - now) if setback else 0.0,
+                    largest_share(spec, list(self.types().values())),
                     spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()))
 
     def _turn(self, job: Job, block: str, blocks: list[str], now: float) -> float:
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -144,17 +144,17 @@
                       if now - max(m.heard, grant.since) > self.planner.suspect_s}
             silent.update({name: since for name, since in unseen.items() if now - since > self.planner.suspect_s})
             total = len(own) + len(unseen)
-            if silent and len(silent) == total and not self.coordinator.unfit and self.settings.peers:
-                # we hear nobody there: another controller may
+            if silent and len(silent) == total and self.settings.peers:
                 log.info("block %s: none of %d machines is heard", block, total)
-                self.coordinator.set_unfit(2.0 * self.settings.lease_s)
-            self._silent(silent, total, now)
+                self.coordinator.unheard(block, 2.0 * self.settings.lease_s)
+            self._silent(block, silent, total, now)
             self._spare(own, now)
 
-    def _silent(self, silent: dict[str, float], total: int, now: float) -> None:
+    def _silent(self, block: str, silent: dict[str, float], total: int, now: float) -> None:
         """Release what is out of reach: only then its tasks may be started elsewhere."""
         # If most are silent the network is to blame rather than they, and they may go on working on their side.
-        patience = self.settings.lease_s * (0.55 if 2 * len(silent) <= max(total, 2) else 2.0)
+        few = 2 * len(silent) <= max(total, 2) or self.coordinator.heard_by_nobody(block)
+        patience = self.settings.lease_s * (0.55 if few else 2.0)
         doomed = []
         for name, since in silent.items():
             wanted = {job.id: job for job, _ in self.book.on_machine(name)}
@@ -171,14 +171,13 @@
                 machine.idle_since = None
             elif machine.idle_since is None:
                 machine.idle_since = now
-        keep = self.settings.knobs.keep_idle * LEAST_CHARGE_S * 0.5
         idle = [m for m in own if m.idle_since is not None and not m.tasks and not self.book.on_machine(m.name)]
         doomed = []
         ordinary = [m for m in own if not m.spot and not m.draining]
         for machine in idle:
             if machine.draining or machine.notice_at is not None:
                 doomed.append(machine)
-            elif now - machine.idle_since > keep:
+            elif now - machine.idle_since > self._keep_s(machine):
                 if not machine.spot and len(ordinary) <= 1:
                     continue  # a warm one for services
                 if machine in ordinary:
@@ -198,6 +197,11 @@
                 if machine.draining:
                     self._empty(machine)
 
+    def _keep_s(self, machine: Machine) -> float:
+        """How long an idle machine is worth keeping: about as long as another would be paid for while it boots."""
+        kind = self.types.get(machine.type)
+        return self.settings.knobs.keep_idle * (kind.boot_s if kind else LEAST_CHARGE_S)
+
     def _empty(self, machine: Machine) -> None:
         for job, claim in self.book.on_machine(machine.name):
             for index in members(claim.tasks):
@@ -320,8 +324,10 @@
                 amount = tuple(part * tasks for part in need_of(job.spec))
                 free = [have - part for have, part in zip(free, amount, strict=True)]
                 if job.spec.kind != "service":
-                    left = self.planner.estimates.corrected(job.spec) - (clock - claim.at)
-                    returns.append((max(left, 1.0), amount))
+                    # half of the images have to be fetched first, say; and what overruns may go on for long
+                    estimate = self.planner.estimates.corrected(job.spec)
+                    left = estimate + 0.5 * job.spec.image_gb / max(kind.fetch_gb_per_s, 1e-6) - (clock - claim.at)
+                    returns.append((max(left, 0.3 * estimate), amount))
             ready = 0.0
             if name not in heard:
                 booting += 1
--- a/tidebend/settings.py
+++ b/tidebend/settings.py
@@ -42,7 +42,7 @@
     controller_lease: float = 0.35
     # a machine silent for this share of the workers' lease is suspect and is asked directly
     suspect_after: float = 0.45
-    # idle machines are kept for this share of the cloud's least charge
+    # idle machines are kept for this share of the time that another would take to boot
     keep_idle: float = 1.0
     # place-holders reach this many estimates into the future
     horizon: float = 4.0
