--- a/tidebend/settings.py
+++ b/tidebend/settings.py
@@ -43,7 +43,7 @@
     # a machine silent for this share of the workers' lease is suspect and is asked directly
     suspect_after: float = 0.45
     # idle machines are kept for this share of the time that another would take to boot
-    keep_idle: float = 1.0
+    keep_idle: float = 0.5
     # place-holders reach this many estimates into the future
     horizon: float = 4.0
     # replicas of services that warm room is kept for, as a share of the replicas running
