--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -105,6 +105,8 @@
             world.cuts.append(Cut(rest[0], rest[1], world.now + float(rest[2]), "hold" in rest))
         elif what == "outage":
             world.state.down(world.now + float(rest[0]))
+        elif what == "cloud_outage":
+            world.cloud.down_until = world.now + float(rest[0])
         elif what == "refuse":  # the state service refuses one node
             world.state.refuses[rest[0]] = world.now + float(rest[1])
         elif what == "die":
--- a/tests/world.py
+++ b/tests/world.py
@@ -276,6 +276,7 @@
         self.capacity = {}
         self.rented = 0
         self.never_up = False
+        self.down_until = -1.0
 
     def add(self, kind, zone, spot, boot_s):
         name = f"vm-{len(self.machines):06d}"
@@ -297,6 +298,8 @@
 
     def call(self, node, method, path, body):
         path, _, query = path.partition("?")
+        if self.world.now < self.down_until:
+            return 503, {"error": "trouble"}
         if path == "/flavors":
             return 200, {"hulls": self.world.types}
         if path == "/machines/release":
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -198,9 +198,12 @@
                     self._empty(machine)
 
     def _keep_s(self, machine: Machine) -> float:
-        """How long an idle machine is worth keeping: about as long as another would be paid for while it boots."""
+        """How long an idle machine is worth keeping, by what another would need to be as useful: boot and images."""
         kind = self.types.get(machine.type)
-        return self.settings.knobs.keep_idle * (kind.boot_s if kind else LEAST_CHARGE_S)
+        if kind is None:
+            return LEAST_CHARGE_S
+        images = max(machine.images.values(), default=0.0)
+        return self.settings.knobs.keep_idle * (kind.boot_s + images / max(kind.fetch_gb_per_s, 1e-6))
 
     def _empty(self, machine: Machine) -> None:
         for job, claim in self.book.on_machine(machine.name):
--- a/tidebend/settings.py
+++ b/tidebend/settings.py
@@ -42,12 +42,10 @@
     controller_lease: float = 0.35
     # a machine silent for this share of the workers' lease is suspect and is asked directly
     suspect_after: float = 0.45
-    # idle machines are kept for this share of the time that another would take to boot
-    keep_idle: float = 0.5
+    # idle machines are kept for this share of the time that another would take to boot and fetch an image
+    keep_idle: float = 0.6
     # place-holders reach this many estimates into the future
     horizon: float = 4.0
-    # replicas of services that warm room is kept for, as a share of the replicas running
-    warm_room: float = 0.1
 
 
 @dataclass(frozen=True)
