--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -63,6 +63,13 @@
     assert claim(second, "a", "vm-000001", 1) is None
 
 
+def test_a_stale_holder_claims_nothing_of_a_job_that_was_cancelled(world):
+    first, second = stale_pair(world, a=spec())
+    record = replace(first.book.get("a"), cancelled=True).pack()
+    world.state.transact({"if": [], "writes": [{"put": JOB_KEY + "a", "v": record}]})
+    assert claim(second, "a", "vm-000001", 1) is None
+
+
 def test_two_holders_do_not_exceed_a_team_limit_with_two_jobs(world):
     first, second = stale_pair(world, a=spec(pieces=2), b=spec(pieces=2))
     assert claim(first, "a", "vm-000000", 3) is not None
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -408,7 +408,7 @@
                 continue
             if seen is None or now - seen[1] < wait or want.not_before > clock:
                 continue
-            best: tuple[float, list[tuple[Key, float]], Machine] | None = None
+            best: tuple[tuple[float, float], list[tuple[Key, float]], Machine] | None = None
             need = need_of(want.spec)
             for place, machine, _ in places.values():
                 if not place.allowed(want.spec) or want.zone_room(place.zone) < 1 or place.until < math.inf:
@@ -416,11 +416,15 @@
                 if machine.stops:
                     continue  # room is being made here already
                 cost = self._cheapest(machine, place, need, rank, now)
-                if cost is not None and (best is None or cost[0] < best[0]):
-                    best = (cost[0], cost[1], machine)
+                if cost is None:
+                    continue
+                # room where the image is at hand is used at once; a fetch often takes longer than the aim allows
+                rank_here = (place.fetch_s(want.spec), cost[0])
+                if best is None or rank_here < best[0]:
+                    best = (rank_here, cost[1], machine)
             if best is None:
                 continue
-            lost, keys, machine = best
+            (_, lost), keys, machine = best
             with self.fleet.lock:
                 for key, grace in keys:
                     machine.stops[key] = grace
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -215,14 +215,13 @@
     def _lead(self) -> None:
         pause = max(1.0, 1.5 / self.settings.cloud_rps)
         while True:
-            time.sleep(pause * random.uniform(0.9, 1.1))
             try:
-                self.lead_once()
+                self.lead_once()  # at once after a start: without the machine types nothing can be decided
             except Invalid as error:
                 log.error("cloud: unexpected answer: %s", error)
             except Exception:
                 log.exception("rentals")
-                time.sleep(1.0)
+            time.sleep(pause * random.uniform(0.9, 1.1))
 
     def lead_once(self) -> None:
         now = time.monotonic()
