--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,44 @@
+"""A settings file that can't be used is refused with a line that names the field."""
+
+import pytest
+
+from tests.world import World
+from tidebend.cli import main
+from tidebend.settings import Knobs, SettingsError, load_settings, read_settings
+
+
+def write(tmp_path, name, text):
+    path = tmp_path / name
+    path.write_text(text)
+    return str(path)
+
+
+def test_a_missing_file_and_one_that_is_not_toml(tmp_path, capsys):
+    assert main(["--config", str(tmp_path / "none.toml")]) == 2
+    assert main(["--config", write(tmp_path, "bad.toml", "= 1")]) == 2
+    assert "not a TOML file" in capsys.readouterr().err
+
+
+def test_a_missing_field_is_named(tmp_path):
+    with pytest.raises(SettingsError, match="outside is missing"):
+        load_settings(write(tmp_path, "a.toml", 'member = "n0"'))
+
+
+def test_operators_knobs(tmp_path):
+    from tidebend.settings import _knobs
+
+    assert _knobs(write(tmp_path, "a.hcl", "keep_idle = 0.7\nother = 3\n")) == Knobs(keep_idle=0.7)
+    with pytest.raises(SettingsError, match="keep_idle must be a ratio"):
+        _knobs(write(tmp_path, "b.hcl", 'keep_idle = "much"\n'))
+
+
+def test_a_limit_of_zero_is_none_and_unknown_fields_are_ignored():
+    teams = [{"name": "t", "cpus": 1.0, "cpus_max": 0.0, "novelty": 1}]
+    settings = World(1, ["north"], teams, []).settings("n0")
+    assert settings.teams["t"].allows(1e6, 1e6)
+    assert settings.controller_lease_s < settings.lease_s / 2
+
+
+def test_a_mistyped_field_is_named():
+    with pytest.raises(SettingsError, match="member must be a text"):
+        read_settings({"outside": {}, "deployment": {"workers": {}, "state": {}, "cloud": {}}, "member": 3}, Knobs())
--- a/tidebend/coordination/__init__.py
+++ b/tidebend/coordination/__init__.py
@@ -187,6 +187,10 @@
         try:
             self._take_up()
             self._lead()
+        except Conflict as conflict:
+            # our cache is behind: after a refusal of us alone the old watch may hang on for its full time
+            log.info("blocks: conflict over %s", conflict)
+            self.mirror.barrier(self.state.timeout, "claim")
         except FAILURES as error:
             log.info("blocks: %s", error)
             time.sleep(random.uniform(0.02, 0.1) * self._lease_s)
