--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -165,6 +165,12 @@
     assert machine.can_no_longer_start(key)  # until a higher token is confirmed
 
 
+def test_an_answer_to_direct_commands_shows_that_a_machine_lives_for_a_lease_at_most(world):
+    rentals = world.controllers["n0"].rentals
+    assert rentals._silent_since(machine_with(heard=50.0, answered=55.0), 52.0) == 55.0
+    assert rentals._silent_since(machine_with(heard=50.0, answered=90.0), 52.0) == 62.0
+
+
 def test_nothing_is_cleared_while_a_late_start_could_run_it_again():
     ended = {("req-a", 0, 1): TaskReport("req-a", 0, 1, "ended", "done", False)}
     assert ops(machine_with(tasks=dict(ended)), []) == ["forget"]
--- a/tidebend/bookkeeping/machines.py
+++ b/tidebend/bookkeeping/machines.py
@@ -26,6 +26,7 @@
     notice_at: float | None = None  # steady time at which the cloud takes it
     heard: float = 0.0  # steady time of the last report
     first_heard: float = 0.0
+    answered: float = 0.0  # steady time of the last answer to direct commands
     tasks: dict[tuple[str, int, int], TaskReport] = field(default_factory=dict)
     # when each task was first reported as running; (job, index, attempt) -> steady time
     running_since: dict[tuple[str, int, int], float] = field(default_factory=dict)
@@ -59,6 +60,8 @@
                 return False
             self.report_sequence = report.sequence
             self.heard = now
+        else:
+            self.answered = now
         if (report.session, report.sequence) <= (self.session, self.sequence):
             return True  # an answer to direct commands has overtaken it: newer, but the worker waits for this one
         self.session, self.sequence, self.token = report.session, report.sequence, report.token
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -140,8 +140,11 @@
                 for claim in job.claims:
                     if block_of(claim.zone) == block and claim.machine not in known:
                         unseen[claim.machine] = grant.since
-            silent = {m.name: max(m.heard, grant.since) for m in own
-                      if now - max(m.heard, grant.since) > self.planner.suspect_s}
+            silent = {m.name: since for m in own
+                      if now - (since := self._silent_since(m, grant.since)) > self.planner.suspect_s}
+            # asked directly before they are given up: a worker may be on its way to us from a dead controller
+            self.planner.send({m.name for m in own
+                               if now - max(m.heard, m.answered) > 0.6 * self.planner.suspect_s})
             silent.update({name: since for name, since in unseen.items() if now - since > self.planner.suspect_s})
             total = len(own) + len(unseen)
             if silent and len(silent) == total and self.settings.peers:
@@ -150,6 +153,12 @@
             self._silent(block, silent, total, now)
             self._spare(own, now)
 
+    def _silent_since(self, machine: Machine, granted: float) -> float:
+        """When we last knew it to be alive; answers to direct commands count for no longer than a lease, since a
+        worker that reports to nobody loses its tasks all the same."""
+        reported = max(machine.heard, granted)
+        return max(reported, min(machine.answered, reported + self.settings.lease_s))
+
     def _silent(self, block: str, silent: dict[str, float], total: int, now: float) -> None:
         """Release what is out of reach: only then its tasks may be started elsewhere."""
         # If most are silent the network is to blame rather than they, and they may go on working on their side.
--- a/tidebend/service/workers.py
+++ b/tidebend/service/workers.py
@@ -158,7 +158,8 @@
                 session = machine.session
                 if machine.token <= grant.token:
                     commands = orders(machine, self.book.on_machine(name), grant.token, direct=True)[:MOST_COMMANDS]
-                if not commands and machine.token >= grant.token:
+                silent = time.monotonic() - machine.heard > 2.0 * self.settings.report_s
+                if not commands and machine.token >= grant.token and not silent:
                     return
         mine = {(c.job, c.index, c.attempt) for c in commands if c.op == "start"}
         path, body = protocol.direct_commands(grant.token, session, commands)
