The order of turns in one place; a rental's name is never used again

The order in which blocks take turns was written twice and is one function; a heapify after pushes, a constant nobody used and a computation repeated for each job are gone. Found on the way: the counter in rental names was set back when a leader regained its term after a doubt about its lease, so that a name could come twice and rent nothing; it is never set back now, with a test.

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -171,6 +171,16 @@
     assert rentals._silent_since(machine_with(heard=50.0, answered=90.0), 52.0) == 62.0
 
 
+def test_a_rental_name_is_not_used_again_when_the_same_term_comes_back(world):
+    leader = next(c for c in world.controllers.values() if c.coordinator.term is not None)
+    leader.rentals._counter = 5
+    until, leader.coordinator.lease_until = leader.coordinator.lease_until, -1e9
+    leader.rentals.lead_once()
+    leader.coordinator.lease_until = until
+    leader.rentals.lead_once()
+    assert leader.coordinator.term is not None and leader.rentals._counter >= 5
+
+
 def test_nothing_is_cleared_while_a_late_start_could_run_it_again():
     ended = {("req-a", 0, 1): TaskReport("req-a", 0, 1, "ended", "done", False)}
     assert ops(machine_with(tasks=dict(ended)), []) == ["forget"]
--- a/tidebend/protocol/__init__.py
+++ b/tidebend/protocol/__init__.py
@@ -291,7 +291,6 @@
     return "/orders", {"helm": token, "watch": session, "orders": [_command(command) for command in commands]}
 
 
-PATH_SHOW = "/show"
 PATH_TYPES = "/flavors"
 PATH_RENT = "/machines"
 PATH_RELEASE = "/machines/release"
--- a/tidebend/scheduling/__init__.py
+++ b/tidebend/scheduling/__init__.py
@@ -5,7 +5,7 @@
 import math
 from bisect import bisect_right
 from dataclasses import dataclass, field
-from heapq import heapify, heappop, heappush
+from heapq import heappop, heappush
 
 from tidebend.protocol import PRIORITIES, JobSpec, MachineType
 
@@ -322,7 +322,6 @@
             for spot, place in enumerate(places):
                 if _allowed(want, place):
                     offer(entry, spot)
-        heapify(heap)
         while heap and startable:
             slot, entry, spot, changes = heappop(heap)
             want, place = entries[entry], places[spot]
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -36,6 +36,11 @@
 Key = tuple[str, int, int]  # job, index, attempt
 
 
+def _order(job: str, blocks: list[str]) -> list[str]:
+    """The order in which blocks take their turns at a job: the same for every holder, another for each job."""
+    return sorted(blocks, key=lambda block: zlib.crc32(f"{job}/{block}".encode()))
+
+
 class Estimates:
     """Owners' estimates corrected per class by what finished tasks took (a moving geometric mean)."""
 
@@ -311,7 +316,7 @@
         if seen is None or seen[0] != pending:
             seen = (pending, now if seen is None else seen[1])
             self._waiting_since[job.id] = seen
-        order = sorted(blocks, key=lambda b: zlib.crc32(f"{job.id}/{b}".encode()))
+        order = _order(job.id, blocks)
         return seen[1] + order.index(block) * self.turn_s - now if block in order else 0.0
 
     def plan(self) -> None:
@@ -331,11 +336,11 @@
             place.until += clock - now
         blocks = sorted(self.coordinator.table())
         wants = []
+        mine = {block_of(place.zone) for place, _, _ in places.values()}
         for job in jobs.values():
             want = self.want(job, now, clock)
             if want is None:
                 continue
-            mine = {block_of(place.zone) for place, _, _ in places.values()}
             turn = min((self._turn(job, block, blocks, now) for block in mine), default=0.0)
             if turn > 0:
                 want.not_before = max(want.not_before, clock + turn)
@@ -394,14 +399,14 @@
     def _preempt(self, waiting: list[Want], placements: list[Placement],
                  places: dict[str, tuple[Place, Machine, Grant]], now: float, clock: float) -> None:
         """Stop what loses least, for waiting work of a higher priority that finds no room now."""
+        blocks = sorted(self.coordinator.table())
         for want in waiting:
             rank = PRIORITIES.index(want.spec.priority)
             if rank == 0 or want.gang or not want.service or want.headroom < 1:
                 continue
             seen = self._waiting_since.get(want.job)
-            blocks = sorted(self.coordinator.table())
             # every holder has had its turn to place it without stopping anything; they take turns at that, too
-            order = sorted(blocks, key=lambda b, j=want.job: zlib.crc32(f"{j}/{b}".encode()))
+            order = _order(want.job, blocks)
             rank_of = min((order.index(block_of(p.zone)) for p, _, _ in places.values()), default=0)
             wait = (len(blocks) + 1) * self.turn_s + rank_of * self.settings.report_s
             if now < self._making_room.get(want.job, 0.0):
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -246,7 +246,6 @@
             return
         if self._lead_since[0] != term:
             self._lead_since = (term, now)
-            self._counter = 0
         listed = self._list()
         if listed is not None:
             self._rent(term, listed)
@@ -356,7 +355,8 @@
 
     def _order(self, term: int, offer: Offer, machines: int) -> None:
         self._counter += 1
-        # a term is one election of one process, so the name can't be used again
+        # A term is one election of one process, and the counter is never set back, not even when we regain the
+        # same term after our lease was in doubt: so the name can't be used again.
         name = f"tidebend-{term}-{self._counter}"
         now = time.monotonic()
         answer = self._call("POST", protocol.PATH_RENT,
