Ends cost one write and are gathered; several jobs go into one transaction

Now a team's record counts what its live jobs have claimed, ended claims are counted in the jobs' own records, and a transaction takes several jobs. Claims of one event share their common fields, so that a record of hundreds of machines fits; a record that is full takes no more claims and is never stuck. A load over several pages is taken over as of one revision, which the split count needs. Ruled out: processor time (5% of a core on steady).

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -95,7 +95,7 @@
     now = time.monotonic()
     places = first.planner.places(now, time.time())
     name = next(name for name, (place, _, _) in places.items() if place.zone == "north")
-    first.planner._claim("a", [Placement("a", name, 2, now, now + 1, True)], places)
+    first.planner._claim({"a": [Placement("a", name, 2, now, now + 1, True)]}, places)
     assert first.book.get("a").per_zone() == {"north": 1}
 
 
@@ -114,6 +114,7 @@
     machine.tasks = {("a", 0, 1): TaskReport("a", 0, 1, "ended", "stopped", False)}
     machine.unsettled, confirmed = True, machine.token
     machine.token = confirmed - 1
+    first.planner.gather_s = 0.0
     first.planner.settle()
     assert first.book.get("a").claims
     machine.token = confirmed
--- a/tidebend/bookkeeping/jobs.py
+++ b/tidebend/bookkeeping/jobs.py
@@ -27,12 +27,20 @@
     at: float  # time of day
     zone: str
 
-    def pack(self) -> list[Any]:
-        return [self.machine, self.session, self.attempt, to_text(self.tasks), round(self.at, 1), self.zone]
 
-    @staticmethod
-    def unpack(row: list[Any]) -> Claim:
-        return Claim(row[0], row[1], row[2], from_text(row[3]), row[4], row[5])
+def pack_claims(claims: Iterable[Claim]) -> list[list[Any]]:
+    """Claims of one event are alike but for machine and tasks: a job on hundreds of machines must fit one value."""
+    groups: dict[tuple[int, int, float, str], list[str]] = {}
+    for claim in claims:
+        rows = groups.setdefault((claim.session, claim.attempt, round(claim.at, 1), claim.zone), [])
+        rows += (claim.machine, to_text(claim.tasks))
+    return [[*common, rows] for common, rows in groups.items()]
+
+
+def unpack_claims(groups: list[list[Any]]) -> tuple[Claim, ...]:
+    return tuple(Claim(machine, session, attempt, from_text(tasks), at, zone)
+                 for session, attempt, at, zone, rows in groups
+                 for machine, tasks in zip(rows[::2], rows[1::2], strict=True))
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,6 +53,7 @@
     submitted: float  # time of day
     cancelled: bool = False
     started: int = 0  # starts so far; gives each claim its attempt
+    ended: int = 0  # claimed tasks whose claims have ended; only grows
     done: int = 0  # bitmap
     claims: tuple[Claim, ...] = ()
 
@@ -71,6 +80,11 @@
     def running(self) -> int:
         return sum(claim.tasks.bit_count() for claim in self.claims)
 
+    @property
+    def charged(self) -> int:
+        """Tasks that the team's record counts for this job: all that it has ever claimed."""
+        return self.ended + self.running
+
     def per_zone(self) -> dict[str, int]:
         zones: dict[str, int] = {}
         for claim in self.claims:
@@ -84,10 +98,13 @@
         """Some claims' tasks ended; `ended` maps (machine, session, attempt) to a bitmap."""
         claims = []
         for claim in self.claims:
-            rest = claim.tasks & ~ended.get((claim.machine, claim.session, claim.attempt), 0)
-            if rest:
-                claims.append(replace(claim, tasks=rest))
-        return replace(self, claims=tuple(claims), done=self.done | done)
+            gone = ended.get((claim.machine, claim.session, claim.attempt), 0)
+            if not claim.tasks & gone:
+                claims.append(claim)
+            elif claim.tasks & ~gone:
+                claims.append(replace(claim, tasks=claim.tasks & ~gone))
+        new = replace(self, claims=tuple(claims), done=self.done | done)
+        return replace(new, ended=self.ended + self.running - new.running)
 
     def pack(self) -> dict[str, Any]:
         value: dict[str, Any] = {"spec": self.spec.pack(), "at": round(self.submitted, 3)}
@@ -95,33 +112,52 @@
             value["cancelled"] = 1
         if self.started:
             value["started"] = self.started
+        if self.ended:
+            value["ended"] = self.ended
         if self.done:
             value["done"] = to_text(self.done)
         if self.claims:
-            value["claims"] = [claim.pack() for claim in self.claims]
+            value["claims"] = pack_claims(self.claims)
         return value
 
     @staticmethod
     def unpack(name: str, value: dict[str, Any], version: int) -> Job:
         return Job(name, version, JobSpec.unpack(value["spec"]), value["at"], bool(value.get("cancelled")),
-                   value.get("started", 0), from_text(value.get("done", "")),
-                   tuple(Claim.unpack(row) for row in value.get("claims", ())))
+                   value.get("started", 0), value.get("ended", 0), from_text(value.get("done", "")),
+                   unpack_claims(value.get("claims", ())))
 
 
 @dataclass(frozen=True, slots=True)
 class Usage:
-    """What a team's claims take, and the version of the record that says so."""
+    """What a team's claims take, and the team's record that says so.
+
+    The record counts all that the team's live jobs have ever claimed, and is written when they claim more and when a
+    job is over. Ends are counted in the jobs' own records: they are most of the writes, and so they neither cost a
+    second one nor collide with other jobs of the team. What a cache knows of ends is at most what has ended, so a
+    cache that is behind overestimates the usage; what it knows of the record is compared by the claim.
+    """
 
     cpus: float = 0.0
     gpus: float = 0.0
     version: int = 0
+    charged: tuple[float, float] = (0.0, 0.0)  # CPUs and GPUs in the record
 
     def plus(self, spec: JobSpec, tasks: int) -> Usage:
-        return replace(self, cpus=max(0.0, round(self.cpus + spec.cpus * tasks, 6)),
-                       gpus=max(0.0, round(self.gpus + spec.gpus * tasks, 6)))
+        cpus, gpus = spec.cpus * tasks, spec.gpus * tasks
+        return replace(self, cpus=_amount(self.cpus + cpus), gpus=_amount(self.gpus + gpus),
+                       charged=(_amount(self.charged[0] + cpus), _amount(self.charged[1] + gpus)))
+
+    def without(self, spec: JobSpec, tasks: int) -> Usage:
+        """A job is over: the record no longer counts what it claimed, all of which had ended."""
+        return replace(self, charged=(_amount(self.charged[0] - spec.cpus * tasks),
+                                      _amount(self.charged[1] - spec.gpus * tasks)))
 
     def pack(self) -> list[float]:
-        return [self.cpus, self.gpus]
+        return list(self.charged)
+
+
+def _amount(value: float) -> float:
+    return max(0.0, round(value, 6))
 
 
 class JobBook:
@@ -130,10 +166,17 @@
     def __init__(self, lock: threading.RLock, keep_finals: int) -> None:
         self.lock = lock
         self.jobs: dict[str, Job] = {}
-        self.usage: dict[str, Usage] = {}
+        self._charged: dict[str, tuple[float, float, int]] = {}  # team -> its record and the record's version
+        self._ended: dict[str, list[float]] = {}  # team -> what its live jobs' ended claims took
         self._finals: OrderedDict[str, str] = OrderedDict()
         self._keep_finals = keep_finals
-        self._by_machine: dict[str, dict[str, Job]] = {}
+        self._by_machine: dict[str, dict[str, list[tuple[Job, Claim]]]] = {}
+
+    def _count_ended(self, job: Job, sign: int) -> None:
+        if job.ended:
+            ended = self._ended.setdefault(job.spec.team, [0.0, 0.0])
+            ended[0] += sign * job.ended * job.spec.cpus
+            ended[1] += sign * job.ended * job.spec.gpus
 
     def on_change(self, key: str, value: Any, version: int) -> None:
         if key.startswith(JOB):
@@ -145,16 +188,19 @@
                     held.pop(name, None)
                     if not held:
                         del self._by_machine[claim.machine]
+            if old is not None:
+                self._count_ended(old, -1)
             if value is not None:
                 job = Job.unpack(name, value, version)
                 self.jobs[name] = job
+                self._count_ended(job, 1)
                 for claim in job.claims:
-                    self._by_machine.setdefault(claim.machine, {})[name] = job
+                    self._by_machine.setdefault(claim.machine, {}).setdefault(name, []).append((job, claim))
         elif key.startswith(TEAM):
             if value is None:
-                self.usage.pop(key[len(TEAM):], None)
+                self._charged.pop(key[len(TEAM):], None)
             else:
-                self.usage[key[len(TEAM):]] = Usage(value[0], value[1], version)
+                self._charged[key[len(TEAM):]] = (value[0], value[1], version)
         elif key.startswith(FINAL) and value is not None:
             self.remember_final(key[len(FINAL):], value)
 
@@ -185,12 +231,13 @@
 
     def team(self, name: str) -> Usage:
         with self.lock:
-            return self.usage.get(name, Usage())
+            cpus, gpus, version = self._charged.get(name, (0.0, 0.0, 0))
+            ended = self._ended.get(name, (0.0, 0.0))
+            return Usage(_amount(cpus - ended[0]), _amount(gpus - ended[1]), version, (cpus, gpus))
 
     def on_machine(self, machine: str) -> list[tuple[Job, Claim]]:
         with self.lock:
-            return [(job, claim) for job in self._by_machine.get(machine, {}).values()
-                    for claim in job.claims if claim.machine == machine]
+            return [pair for pairs in self._by_machine.get(machine, {}).values() for pair in pairs]
 
     def machines(self) -> set[str]:
         with self.lock:
--- a/tidebend/bookkeeping/machines.py
+++ b/tidebend/bookkeeping/machines.py
@@ -30,6 +30,8 @@
     tasks: dict[tuple[str, int, int], TaskReport] = field(default_factory=dict)
     # when each task was first reported as running; (job, index, attempt) -> steady time
     running_since: dict[tuple[str, int, int], float] = field(default_factory=dict)
+    # ended tasks that were learnt from; guards against counting one failure once for each look at it
+    observed: set[tuple[str, int, int]] = field(default_factory=set)
     # the newest proper report, as opposed to answers to direct commands
     report_sequence: int = 0
     # starts sent in answers to reports: (job, index, attempt) -> sequence of the report
@@ -54,6 +56,7 @@
             self.doubtful.clear()
             self.stops.clear()
             self.running_since.clear()
+            self.observed.clear()
             self.report_sequence = 0
         if not direct:
             if report.sequence <= self.report_sequence:
@@ -74,6 +77,7 @@
                 self.running_since.setdefault(key, now)
         for key in [key for key, (token, _) in self.doubtful.items() if token < self.token]:
             del self.doubtful[key]  # an older command is refused from now on
+        self.observed &= self.tasks.keys()
         for table in (self.running_since, self.stops):
             for key in [key for key in table if key not in self.tasks and key not in self.sent]:
                 del table[key]
--- a/tidebend/service/__init__.py
+++ b/tidebend/service/__init__.py
@@ -39,7 +39,7 @@
         self.fleet = Fleet()
         self.dispatcher = Dispatcher(settings, self.book, self.fleet, lambda: self.planner.wake(), connect)
         self.coordinator = Coordinator(settings, self.state, self.mirror, self.dispatcher.took_up)
-        self.ledger = Ledger(self.state, self.mirror, self.book, settings.state_value_bytes)
+        self.ledger = Ledger(settings, self.state, self.mirror, self.book)
         self.planner = Planner(settings, self.coordinator, self.book, self.fleet, self.ledger, self._types,
                                self.dispatcher.send)
         self.link = PeerLink(settings, self.news, self.coordinator.told)
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -9,6 +9,7 @@
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from tidebend.bookkeeping.jobs import Claim, Job, JobBook, Usage
 from tidebend.bookkeeping.machines import Fleet, Machine
@@ -27,7 +28,7 @@
     times_fit,
     value_of,
 )
-from tidebend.service.ledger import Ledger
+from tidebend.service.ledger import Edit, Ledger, packed_bytes
 from tidebend.settings import Settings
 from tidebend.storage import Unavailable, Unknown
 
@@ -92,10 +93,12 @@
         self.setbacks: dict[str, Setback] = {}
         self.event = threading.Event()
         self._waiting_since: dict[str, tuple[int, float]] = {}  # job -> (pending bitmap, steady time)
+        self._ends_since: dict[str, float] = {}  # job -> steady time since which ends wait to be recorded
         self._making_room: dict[str, float] = {}  # job -> steady time until which stopped tasks may take to end
         # a service without an estimate counts as long as a worker's lease when values are compared
         self.nominal_s = settings.lease_s
         self.suspect_s = max(2.2 * settings.report_s, settings.lease_s * settings.knobs.suspect_after)
+        self.gather_s = 0.05 * settings.lease_s
         self.turn_s = 0.1 * settings.report_s
 
     def start(self) -> None:
@@ -135,13 +138,44 @@
                 unwanted.update(claim.machine for claim in job.claims)
             if not job.claims and (job.cancelled or job.complete):
                 ends.setdefault(job.id, _Ends())  # its final record is missing
-        for name, end in ends.items():
-            conditions = dict(self.coordinator.condition(grant) for grant in end.grants)
-            self.ledger.change(name, lambda job, _, end=end: job.without(end.ended, end.done), conditions)
         self.send(unwanted)
         self._resolve_doubts()
-        if ends:
-            log.debug("ends recorded for %s", ", ".join(ends))
+        self._record(ends)
+
+    def _record(self, ends: dict[str, _Ends]) -> None:
+        """Ends are gathered for a moment: the tasks of an array end one after the other, and each write counts.
+
+        Their room is free at once, since it is planned from the workers' reports; what completes a job isn't kept
+        waiting.
+        """
+        now = time.monotonic()
+        for name in [name for name in self._ends_since if name not in ends]:
+            del self._ends_since[name]
+        edits = []
+        for name, end in ends.items():
+            job = self.book.get(name)
+            if job is None:
+                continue
+            since = self._ends_since.setdefault(name, now)
+            last = job.cancelled or job.done | end.done == job.all_tasks
+            if not last and job.spec.kind == "array" and now - since < self.gather_s:
+                continue
+            conditions = dict(self.coordinator.condition(grant) for grant in end.grants)
+            edits.append(Edit(name, partial(self._without, end=end), conditions))
+        if edits:
+            recorded = self.ledger.change_all(edits)
+            for name in recorded:
+                self._ends_since.pop(name, None)
+            log.debug("ends recorded for %s", ", ".join(recorded))
+
+    def _without(self, job: Job, _: Usage, end: _Ends) -> Job:
+        new = job.without(end.ended, end.done)
+        if end.done and not self.ledger.fits(new) and not (new.complete or new.cancelled):
+            # the numbers of the done tasks are too scattered for a record: results are kept by the platform, so that
+            # a task started again is done at once
+            scattered = job.without(end.ended, 0)
+            return new if packed_bytes(new.pack()) <= self.ledger.value_bytes else scattered
+        return new
 
     def _resolve_doubts(self) -> None:
         """A direct start without an answer may be executed late: a new token puts an end to that."""
@@ -194,6 +228,9 @@
         return (job.cancelled or key in machine.stops) and machine.can_no_longer_start(key)
 
     def _observe(self, machine: Machine, job: Job, key: Key, why: str | None, now: float) -> None:
+        if key in machine.observed:
+            return  # its record waits to be written
+        machine.observed.add(key)
         since = machine.running_since.pop(key, None)
         if why == "done":
             if since is not None and job.spec.kind != "service":
@@ -258,13 +295,16 @@
             need = need_of(job.spec)
             for index in members(claim.tasks):
                 key = (job.id, index, claim.attempt)
+                task = machine.tasks.get(key)
+                if task is not None and task.state == "ended" and claim.session == machine.session:
+                    machine.uses_image(job.spec.image, job.spec.image_gb, kind.cache_gb)
+                    continue  # its room is free; that its record doesn't say so yet keeps nobody waiting
                 left = self._remaining(machine, job, key, kind, now, clock, claim)
                 if key in machine.stops:
                     left = machine.stops[key] + self.settings.report_s
                 end = left if left == math.inf else math.ceil(left / step) * step
                 taken = ends.get(end, (0.0, 0.0, 0.0))
                 ends[end] = (taken[0] + need[0], taken[1] + need[1], taken[2] + need[2])
-                task = machine.tasks.get(key)
                 if task is None or task.state == "fetching":
                     fetching.add(job.spec.image)
                 else:
@@ -352,47 +392,51 @@
         for placement in placements:
             if placement.now:
                 chosen.setdefault(placement.job, []).append(placement)
-        for name, group in chosen.items():
-            self._claim(name, group, places)
+        self._claim(chosen, places)
         self._preempt([want for want in wants if want.waiting > 0], placements, places, now, clock)
 
-    def _claim(self, name: str, group: list[Placement], places: dict[str, tuple[Place, Machine, Grant]]) -> None:
-        conditions = {}
-        for placement in group:
-            key, token = self.coordinator.condition(places[placement.machine][2])
-            conditions[key] = token
+    def _claim(self, chosen: dict[str, list[Placement]], places: dict[str, tuple[Place, Machine, Grant]]) -> None:
         at = time.time()
-
-        def edit(job: Job, usage: Usage) -> Job | None:
-            pending = job.pending
-            spec = job.spec
-            team = self.settings.teams.get(spec.team)
-            gang = spec.kind == "gang"
-            if gang and (job.claims or sum(p.tasks for p in group) != pending.bit_count()):
-                return None
-            want = Want(name, spec, value_of(spec, 0, 1), 1, pending.bit_count(), job.per_zone())
-            claims = []
-            for placement in group:
-                machine = places[placement.machine][1]
-                # the rules that span holders, against the very records that the transaction compares
-                count = min(placement.tasks, want.zone_room(machine.zone))
-                tasks = lowest(pending, count)
-                if not tasks:
-                    continue
-                usage = usage.plus(spec, tasks.bit_count())
-                if team is not None and not team.allows(usage.cpus, usage.gpus):
-                    break
-                want.zones[machine.zone] = want.zones.get(machine.zone, 0) + tasks.bit_count()
-                pending &= ~tasks
-                claims.append(Claim(machine.name, machine.session, job.started + 1, tasks, at, machine.zone))
-            if not claims or (gang and pending):
-                return None
-            return job.with_claims(claims)
-
-        new = self.ledger.change(name, edit, conditions)
-        if new is not None:
-            self.send({placement.machine for placement in group})
-            log.debug("claimed for %s: %s", name, [(p.machine, p.tasks) for p in group])
+        edits = []
+        for name, group in chosen.items():
+            conditions = dict(self.coordinator.condition(places[placement.machine][2]) for placement in group)
+            edits.append(Edit(name, partial(self._claimed, group=group, places=places, at=at), conditions))
+        changed = self.ledger.change_all(edits) if edits else {}
+        for name in changed:
+            log.debug("claimed for %s: %s", name, [(p.machine, p.tasks) for p in chosen[name]])
+        self.send({placement.machine for name in changed for placement in chosen[name]})
+
+    def _claimed(self, job: Job, usage: Usage, group: list[Placement],
+                 places: dict[str, tuple[Place, Machine, Grant]], at: float) -> Job | None:
+        """The job with claims for a group of placements: the rules that span holders are checked against the very
+        records that the transaction compares."""
+        pending = job.pending
+        spec = job.spec
+        team = self.settings.teams.get(spec.team)
+        gang = spec.kind == "gang"
+        if gang and (job.claims or sum(p.tasks for p in group) != pending.bit_count()):
+            return None
+        want = Want(job.id, spec, value_of(spec, 0, 1), 1, pending.bit_count(), job.per_zone())
+        claims = []
+        for placement in group:
+            machine = places[placement.machine][1]
+            tasks = lowest(pending, min(placement.tasks, want.zone_room(machine.zone)))
+            if not tasks:
+                continue
+            usage = usage.plus(spec, tasks.bit_count())
+            if team is not None and not team.allows(usage.cpus, usage.gpus):
+                break
+            want.zones[machine.zone] = want.zones.get(machine.zone, 0) + tasks.bit_count()
+            pending &= ~tasks
+            claims.append(Claim(machine.name, machine.session, job.started + 1, tasks, at, machine.zone))
+        if not claims or (gang and pending):
+            return None
+        new = job.with_claims(claims)
+        while not gang and len(claims) > 1 and not self.ledger.fits(new):
+            # a record holds only so many claims: the rest follows as these end
+            claims = claims[:len(claims) // 2]
+            new = job.with_claims(claims)
+        return new if gang or not job.claims or self.ledger.fits(new) else None
 
     # Room for what may preempt
 
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -18,7 +18,7 @@
 from tidebend.protocol import Invalid, ListedMachine, MachineType
 from tidebend.provisioning import Capacity, Offer, to_rent
 from tidebend.scheduling import need_of
-from tidebend.service.ledger import Ledger
+from tidebend.service.ledger import Edit, Ledger
 from tidebend.service.planner import Planner
 from tidebend.settings import Settings
 from tidebend.storage import Unavailable, Unknown
@@ -101,12 +101,12 @@
             return job.without({(c.machine, c.session, c.attempt): c.tasks for c in job.claims
                                 if c.machine in names}, 0)
 
-        for job in sorted({job.id for name in names for job, _ in self.book.on_machine(name)}):
-            try:
-                self.ledger.change(job, edit, {})
-            except (Unavailable, Unknown) as error:
-                log.info("job %s keeps claims on machines that are gone: %s", job, error)
-                return  # tried again by the guard
+        jobs = sorted({job.id for name in names for job, _ in self.book.on_machine(name)})
+        try:
+            self.ledger.change_all([Edit(job, edit) for job in jobs])
+        except (Unavailable, Unknown) as error:
+            log.info("%s keep claims on machines that are gone: %s", ", ".join(jobs), error)
+            return  # tried again by the guard
         self.planner.wake()
 
     def _guard(self) -> None:
--- a/tidebend/storage/__init__.py
+++ b/tidebend/storage/__init__.py
@@ -55,7 +55,8 @@
         # when they do, the service refuses, which is safe, and the refused back off.
         share = min(1.0, 1.8 / controllers)
         self._requests = Budget(rps * share)
-        self._writes = Budget(write_rps * share)
+        self.writes_per_s = write_rps * share
+        self._writes = Budget(self.writes_per_s)
         self.timeout = timeout
         self.last_contact = -1e9  # steady time at which the last answered request was sent
 
@@ -210,22 +211,41 @@
                 self._on_change(key, value, version)
 
     def _load(self) -> None:
+        """Read everything, as of one revision.
+
+        Pages are read one after the other, and the store moves on between them: what has changed since the first is
+        read as well before any of it is taken over, so that a team's record is never seen without its jobs'.
+        """
+        rows: dict[str, tuple[Any, int]] = {}
         after: str | None = None
-        first: int | None = None
-        seen = set()
+        revision: int | None = None
+        paged = False
         while True:
-            rows, more, revision = self.state.items(LIVE, after)
-            first = revision if first is None else first
-            seen.update(key for key, _, _ in rows)
-            self.apply(rows)
-            if not more or not rows:
+            page, more, newest = self.state.items(LIVE, after)
+            revision = newest if revision is None else revision
+            rows.update((key, (value, version)) for key, value, version in page)
+            if not more or not page:
                 break
-            after = rows[-1][0]
+            after = page[-1][0]
+            paged = True
+        finals = []
+        if paged:
+            result = self.state.changes(PREFIX, revision, 0.0, "claim")
+            if result is None:
+                raise Unavailable("the store moves on faster than it can be read")
+            moved, revision = result
+            for key, value, version in moved:
+                if key.startswith(FINAL):
+                    finals.append((key, value, version))
+                elif value is None:
+                    rows.pop(key, None)
+                else:
+                    rows[key] = (value, version)
         with self.lock:
-            gone = [(key, None, first) for key, (_, version) in self._items.items()
-                    if key not in seen and version < first]
-            self.apply(gone)
-            self._revision = max(self._revision, first)
+            gone = [(key, None, revision) for key, (_, version) in self._items.items()
+                    if key not in rows and version < revision]
+            self.apply([(key, value, version) for key, (value, version) in rows.items()] + gone + finals)
+            self._revision = max(self._revision, revision)
         self.loaded.set()
 
     def catch_up(self, wait_s: float, kind: str) -> None:
