A cut zone works on inside; replicas move out late and one by one; events cost less

Nothing is rented where nobody is heard. Commands for healthy machines no longer wait behind time-outs of silent ones. A busy machine now takes one place-holder in an event, the horizon is one estimate, and the planner rests six times as long as an event took.

--- a/tidebend/coordination/__init__.py
+++ b/tidebend/coordination/__init__.py
@@ -59,7 +59,7 @@
         self._lock = threading.Lock()
         self._unheard: dict[str, float] = {}  # block -> steady time until which we would rather not hold it
         self._nodes_since: dict[str, float] = {}
-        self._block_missing: dict[str, float] = {}
+        self._at_home: dict[str, tuple[str, float]] = {}  # block -> its zone's holder, and when it last held it
         self.wake = threading.Event()
 
     # Our lease
@@ -107,10 +107,11 @@
     def lease_valid(self) -> bool:
         return time.monotonic() < self.lease_until
 
-    def unheard(self, block: str, seconds: float) -> None:
+    def unheard(self, block: str, machines: int, seconds: float) -> None:
         """We hear none of a block's machines: another controller may, and should hold it for a while."""
         if block in self._unheard:
             return
+        log.info("block %s: none of %d machines is heard", block, machines)
         self._unheard[block] = time.monotonic() + seconds
         try:
             self._announce()
@@ -121,6 +122,17 @@
         """Whether every live controller has tried and hears none of the block's machines."""
         return all(block in value.get("unheard", ()) for value, _ in self.mirror.under(NODE).values())
 
+    def left_alone(self, block: str) -> float | None:
+        """Since when the controller of the block's own zone, which held it, has been out of touch, if it is.
+
+        A zone that is cut off goes on working inside: such a controller may answer its workers for as long as
+        `answer_bound_s`, and their tasks go on.
+        """
+        name, seen = self._at_home.get(block, ("", 0.0))
+        if not name or self.mirror.get(NODE + name)[0] is not None:
+            return None
+        return seen - self._lease_s  # it may have lost touch a lease before its grant ended
+
     # Blocks
 
     def holder(self, block: str) -> str | None:
@@ -199,8 +211,11 @@
         """Notice grants and losses; after a restart, take our own blocks back at once."""
         fresh = {}
         lost = []
+        zones = {peer.name: peer.zone for peer in self.settings.peers}
         for key, (value, version) in self.mirror.under(BLOCK).items():
             block = key[len(BLOCK):]
+            if zones.get(value["holder"]) == zone_of(block):
+                self._at_home[block] = (value["holder"], time.monotonic())
             if value["holder"] != self.settings.name:
                 continue
             if value["lease"] != self.lease:
--- a/tidebend/scheduling/__init__.py
+++ b/tidebend/scheduling/__init__.py
@@ -16,6 +16,8 @@
 # what lies within its team's guarantee is worth this many times what is borrowed
 GUARANTEE_WORTH = 2.0
 EPSILON = 1e-6
+# busy machines that an event looks at together when a want's best slot may be on one of them
+LOOK = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -319,7 +321,7 @@
     wants = [want for want in wants if want.waiting > 0 and want.headroom > 0]  # teams at their limit are skipped
     # Once nothing can start anywhere the event is over: what it would still hold lapses with it.
     startable = _Startable(wants, places, now)
-    open_spots = [spot for spot, place in enumerate(places) if place.name in startable.names]
+    open_set = {spot for spot, place in enumerate(places) if place.name in startable.names}
 
     def run(entries: list[Want]) -> None:
         # Placing changes slots only on its machine, and mostly for the worse. So the best of all slots is the top
@@ -335,9 +337,21 @@
 
         if not startable.names:
             return
+        # the other machines in the order in which the first task on each ends
+        order = sorted((place.timeline.times[1], spot) for spot, place in enumerate(places)
+                       if len(place.timeline.times) > 1)
         offered: dict[int, set[int]] = {}
-        soonest = min((place.timeline.times[1] for place in places if len(place.timeline.times) > 1),
-                      default=math.inf)
+        looked: dict[int, int] = {}  # entry -> how far into that order it has looked
+
+        def look_later(entry: int) -> None:
+            want, at = entries[entry], looked[entry]
+            if at < len(order) and want.waiting > 0:
+                start = max(want.not_before, order[at][0])
+                if start <= latest:
+                    finish = start + want.estimate
+                    bound = (-_rate(want, finish, now), round(finish, 3), 3, 0.0, 0.0, "", start)
+                    heappush(heap, (bound, entry, -1, 0))
+
         for entry, want in enumerate(entries):
             if want.gang:
                 if want.headroom >= want.waiting:
@@ -345,28 +359,31 @@
                         placements.append(placement)
                         want.waiting -= placement.tasks
                 continue
-            # Slots on other machines are computed once the want's best one may be among them: none begins before
-            # the first task on any of them ends.
+            # Slots on other machines are computed a few at a time, once the want's best one may be among them: none
+            # begins before the first task there ends.
             need = need_of(want.spec)
-            offered[entry] = {spot for spot in open_spots if times_fit(places[spot].timeline.free[0], need)
+            offered[entry] = {spot for spot in open_set if times_fit(places[spot].timeline.free[0], need)
                               and _allowed(want, places[spot])}
+            looked[entry] = 0
             for spot in offered[entry]:
                 offer(entry, spot)
-            start = max(want.not_before, soonest)
-            if start <= latest:
-                finish = start + want.estimate
-                heappush(heap, ((-_rate(want, finish, now), round(finish, 3), 3, 0.0, 0.0, "", start), entry, -1, 0))
+            look_later(entry)
         while heap and startable.names:
             slot, entry, spot, changes = heappop(heap)
             if spot < 0:
-                want = entries[entry]
-                for spot, place in enumerate(places):
-                    if spot not in offered[entry] and _allowed(want, place):
+                want, at = entries[entry], looked[entry]
+                looked[entry] = at + LOOK
+                for _, spot in order[at:at + LOOK]:
+                    place = places[spot]
+                    if (spot not in offered[entry] and _allowed(want, place)
+                            and (not place.changes or place.name in startable.names)):
                         offer(entry, spot)
+                look_later(entry)
                 continue
             want, place = entries[entry], places[spot]
             if changes != place.changes:
-                offer(entry, spot)
+                if place.name in startable.names:
+                    offer(entry, spot)
                 continue
             finish, start = slot[1], slot[6]
             need = need_of(want.spec)
@@ -387,8 +404,11 @@
             want.waiting -= tasks
             want.headroom -= tasks
             want.zones[place.zone] = want.zones.get(place.zone, 0) + tasks
+            # A busy machine, where nobody can start now, takes one place-holder in an event: who comes later finds
+            # another, and what an event costs stays in proportion to the machines, however much is waiting.
             startable.look_again(place)
-            offer(entry, spot)
+            if place.name in startable.names:
+                offer(entry, spot)
 
     # Services go first; then standing reservations, the oldest soft deadline before the others; then the pick.
     run([want for want in wants if want.service])
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -35,7 +35,7 @@
 log = logging.getLogger("planner")
 
 # the planner rests for this many times as long as its last event took
-REST = 2.0
+REST = 6.0
 
 Key = tuple[str, int, int]  # job, index, attempt
 _Victim = tuple[float, Key, float, tuple[float, float, float], int]  # loss, task, grace, amounts, priority
@@ -132,7 +132,7 @@
             # guards against a planner that starves the answers to workers and users: the longer an event takes, on
             # a large block or a slow processor, the longer the pause after it
             took = time.monotonic() - began
-            time.sleep(max(pause, min(REST * took, 0.1 * self.settings.lease_s)))
+            time.sleep(max(pause, min(REST * took, 0.2 * self.settings.lease_s)))
 
     def mapping_event(self) -> None:
         """Claims before ends: when changes are short, room that is free goes to waiting work first."""
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import threading
 import time
@@ -55,6 +56,7 @@
         self._http = connect(settings.cloud, keep=2)
         # the leader rents and lists; every holder releases
         self._budget = Budget(settings.cloud_rps)
+        self._guard_pause_s = min(1.0, settings.report_s / 2.0)
         self._timeout = max(2.0, settings.lease_s / 3.0)
         self._known: dict[str, Rented] = {}
         self._shortage: dict[Offer, float] = {}  # offer -> steady time until which it isn't asked for again
@@ -110,9 +112,8 @@
         self.planner.wake()
 
     def _guard(self) -> None:
-        pause = min(1.0, self.settings.report_s / 2.0)
         while True:
-            time.sleep(pause * random.uniform(0.8, 1.2))
+            time.sleep(self._guard_pause_s * random.uniform(0.8, 1.2))
             try:
                 self.guard_once()
             except Exception:
@@ -148,8 +149,7 @@
             silent.update({name: since for name, since in unseen.items() if now - since > self.planner.suspect_s})
             total = len(own) + len(unseen)
             if silent and len(silent) == total and self.settings.peers:
-                log.info("block %s: none of %d machines is heard", block, total)
-                self.coordinator.unheard(block, 2.0 * self.settings.lease_s)
+                self.coordinator.unheard(block, total, 2.0 * self.settings.lease_s)
             self._silent(block, silent, total, now)
             self._spare(own, now)
 
@@ -162,18 +162,46 @@
     def _silent(self, block: str, silent: dict[str, float], total: int, now: float) -> None:
         """Release what is out of reach: only then its tasks may be started elsewhere."""
         # If most are silent the network is to blame rather than they, and they may go on working on their side.
-        few = 2 * len(silent) <= max(total, 2) or self.coordinator.heard_by_nobody(block)
+        unheard = self.coordinator.heard_by_nobody(block)
+        few = 2 * len(silent) <= max(total, 2) or unheard
         patience = self.settings.lease_s * (0.55 if few else 2.0)
+        alone = self.coordinator.left_alone(block)
+        if unheard and alone is not None and len(silent) == total:
+            until = alone + self.settings.answer_bound_s
+            if until > min(silent.values(), default=now):
+                self._move_out(silent, until, now)
+                return
         doomed = []
         for name, since in silent.items():
-            wanted = {job.id: job for job, _ in self.book.on_machine(name)}
-            cancelled = any(job.cancelled for job in wanted.values())
-            limit = min(patience, self.settings.lease_s) if cancelled else patience
+            limit = min(patience, self.settings.lease_s) if self._any_cancelled(name) else patience
             if now - since > limit:
                 doomed.append(name)
         if doomed:
             self.release(doomed[:100])
 
+    def _any_cancelled(self, name: str) -> bool:
+        return any(job.cancelled for job, _ in self.book.on_machine(name))
+
+    def _move_out(self, silent: dict[str, float], until: float, now: float) -> None:
+        """A zone that is cut off works on inside until its controller may answer no more.
+
+        Until then nothing there is lost, and the cut may end. But once it has ended its tasks all at once, the zone's
+        replicas would be missed all at once: so, in the second half of that time, they are moved out one by one, and
+        what remains goes at its end.
+        """
+        lease_s = self.settings.lease_s
+        doomed = [name for name, since in silent.items()
+                  if (now > until and now - since > 0.55 * lease_s)
+                  or (now - since > lease_s and self._any_cancelled(name))]
+        serving = sorted(name for name in silent if name not in doomed
+                         and any(job.spec.kind == "service" for job, _ in self.book.on_machine(name)))
+        begin = until - 0.5 * self.settings.answer_bound_s
+        if serving and not doomed and now > begin:
+            ticks = max(1.0, (until - now) / self._guard_pause_s)
+            doomed = serving[:math.ceil(len(serving) / ticks)]
+        if doomed:
+            self.release(doomed[:100])
+
     def _spare(self, own: list[Machine], now: float) -> None:
         for machine in own:
             if self.book.on_machine(machine.name):
@@ -344,7 +372,10 @@
                 ready = max(1.0, kind.boot_s - (now - known.since))
             capacities.append(Capacity(kind, known.zone, known.spot, tuple(free), ready, returns))
         wants = [want for want in (self.planner.want(job, now, clock) for job in self.book.live()) if want]
-        offers = [Offer(kind, zone, spot) for kind in self.types.values() for zone in kind.zones
+        # what is rented in a zone that nobody hears can't be used
+        cut = {zone for zone in self.settings.zones if self.coordinator.heard_by_nobody(block_of(zone))}
+        capacities = [capacity for capacity in capacities if capacity.zone not in cut]
+        offers = [Offer(kind, zone, spot) for kind in self.types.values() for zone in kind.zones if zone not in cut
                   for spot in (True, False) if self._shortage.get(Offer(kind, zone, spot), 0.0) < now]
         rank: dict[str, int] = {}
         for capacity in capacities:
--- a/tidebend/service/workers.py
+++ b/tidebend/service/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import queue
 import threading
@@ -24,6 +25,9 @@
 MOST_COMMANDS = 300
 
 
+_Row = tuple[str, str, tuple[str, int], int]  # machine, zone, address, session
+
+
 class Workers:
     def __init__(self, settings: Settings, state: StateClient, book: JobBook, fleet: Fleet,
                  coordinator: Coordinator, wake: Callable[[], None]) -> None:
@@ -72,6 +76,8 @@
     """Direct commands: starts and stops reach a worker at once, not only with its next report."""
 
     THREADS = 3
+    # for machines that don't answer: asking one takes the full time-out
+    ASKING_THREADS = 5
 
     def __init__(self, settings: Settings, book: JobBook, fleet: Fleet, wake: Callable[[], None],
                  connect: Callable[..., HttpClient] = HttpClient) -> None:
@@ -82,15 +88,19 @@
         self._connect = connect
         self.coordinator: Coordinator
         self.link: PeerLink
-        self._queue: queue.Queue[tuple[str, str, tuple[str, int], int]] = queue.Queue(maxsize=256)
+        # Guards against commands for healthy machines that wait behind time-outs: when a zone is cut, dozens of
+        # machines are silent at a time.
+        self._healthy: queue.Queue[_Row] = queue.Queue(maxsize=256)
+        self._silent: queue.Queue[_Row] = queue.Queue(maxsize=256)
         self._queued: set[str] = set()
         self._clients: dict[tuple[str, int], HttpClient] = {}
         self._lock = threading.Lock()
         self._timeout = min(2.0, settings.report_s)
 
     def start(self) -> None:
-        for number in range(self.THREADS):
-            threading.Thread(target=self._run, name=f"dispatch-{number}", daemon=True).start()
+        for number in range(self.THREADS + self.ASKING_THREADS):
+            rows = self._healthy if number < self.THREADS else self._silent
+            threading.Thread(target=self._run, args=(rows,), name=f"dispatch-{number}", daemon=True).start()
 
     def send(self, names: set[str]) -> None:
         """Have the recorded claims and stops of these machines carried out; a full queue leaves it to reports."""
@@ -100,15 +110,16 @@
                 if machine is None or machine.address is None:
                     continue
                 row = (name, machine.zone, machine.address, machine.session)
-            self._put(row)
+                silent = time.monotonic() - max(machine.heard, machine.answered) > 2.0 * self.settings.report_s
+            self._put(row, self._silent if silent else self._healthy)
 
-    def _put(self, row: tuple[str, str, tuple[str, int], int]) -> None:
+    def _put(self, row: _Row, rows: queue.Queue[_Row]) -> None:
         with self._lock:
             if row[0] in self._queued:
                 return
             self._queued.add(row[0])
         try:
-            self._queue.put_nowait(row)
+            rows.put_nowait(row)
         except queue.Full:
             with self._lock:
                 self._queued.discard(row[0])
@@ -122,21 +133,25 @@
                 if not released and block_of(zone) == grant.block and host:
                     rows.setdefault(name, (name, zone, (host, port), session))
         for row in rows.values():
-            self._put(row)
+            self._put(row, self._silent)  # whether they can be reached from here is what we want to know
 
-    def _run(self) -> None:
+    def _run(self, rows: queue.Queue[_Row]) -> None:
         while True:
             try:
-                self.deliver_next(block=True)
+                self._deliver_row(rows.get())
             except Exception:
                 log.exception("direct commands")
 
-    def deliver_next(self, block: bool) -> bool:
-        """False if there was nothing to send."""
-        try:
-            name, zone, address, session = self._queue.get(block)
-        except queue.Empty:
-            return False
+    def deliver_next(self) -> bool:
+        """Without threads of its own; False if there was nothing to send."""
+        for rows in (self._healthy, self._silent):
+            with contextlib.suppress(queue.Empty):
+                self._deliver_row(rows.get_nowait())
+                return True
+        return False
+
+    def _deliver_row(self, row: _Row) -> None:
+        name, zone, address, session = row
         with self._lock:
             self._queued.discard(name)
             client = self._clients.get(address)
@@ -145,7 +160,6 @@
                     self._clients.clear()
                 client = self._clients[address] = self._connect(address, keep=1)
         self._deliver(name, zone, session, client)
-        return True
 
     def _deliver(self, name: str, zone: str, session: int, client: HttpClient) -> None:
         grant = self.coordinator.grant(block_of(zone))
--- a/tidebend/settings.py
+++ b/tidebend/settings.py
@@ -45,7 +45,7 @@
     # idle machines are kept for this share of the time that another would take to boot and fetch an image
     keep_idle: float = 0.6
     # place-holders reach this many estimates into the future
-    horizon: float = 4.0
+    horizon: float = 1.0
 
 
 @dataclass(frozen=True)
