--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -14,7 +14,10 @@
 from tidebend.bookkeeping.machines import Machine, orders
 from tidebend.coordination import block_of
 from tidebend.protocol import Report, TaskReport, parse_job
+from tidebend.provisioning import Offer, Rental
 from tidebend.scheduling import Placement
+from tidebend.service.ledger import Edit, packed_bytes
+from tidebend.service.planner import _Ends
 
 TYPES = [{"name": "box", "vcpus": 8.0, "accelerators": 0.0, "memoryGb": 32.0, "localGb": 50.0, "fetchGbPerS": 1.0,
           "price": 1.0, "spotPrice": 0.4, "startupS": 10.0, "harbors": ["north", "south"]}]
@@ -186,3 +189,112 @@
     ended = {("req-a", 0, 1): TaskReport("req-a", 0, 1, "ended", "done", False)}
     assert ops(machine_with(tasks=dict(ended)), []) == ["forget"]
     assert ops(machine_with(tasks=dict(ended), doubtful={("req-a", 0, 1): (5, 0.0)}), []) == []
+
+
+# Records at size
+
+def test_a_record_of_hundreds_of_machines_fits_one_value():
+    claims = tuple(Claim(f"vm-{n:06d}", 1, 1 + n // 40, 0b1111 << 4 * n, 1e9 + n // 40, "palermo") for n in range(150))
+    job = Job("req-a", 1, spec(pieces=600), 0.0, claims=claims, started=4)
+    assert packed_bytes(job.pack()) < 0.75 * 8192
+    assert Job.unpack("req-a", json.loads(json.dumps(job.pack())), 1) == job
+
+
+def test_a_full_record_takes_no_more_claims_and_still_records_ends(world):
+    first, _ = stale_pair(world, a=spec(pieces=100_000, vcpus=0.001, memoryGb=0.0))
+    first.ledger.value_bytes = 600
+    now = time.monotonic()
+    places = first.planner.places(now, time.time())
+    group = [Placement("a", name, 2000, now, now + 1, True) for name in places]
+    for _ in range(20):
+        first.planner._claim({"a": group}, places)
+    job = first.book.get("a")
+    assert 0 < len(job.claims) < 20 and first.ledger.fits(job)
+    # every other one done: too scattered for the record, which says then that they have ended
+    everything = {(c.machine, c.session, c.attempt): c.tasks for c in job.claims}
+    done = job.claimed & int("01" * 50_000, 2)
+    assert first.ledger.change("a", lambda job, _: first.planner._without(job, _, _Ends(everything, done)), {})
+    assert not first.book.get("a").claims
+
+
+# A team's record counts claims, the jobs' records count ends
+
+def test_usage_is_what_the_claims_take_through_claims_ends_and_the_end_of_a_job(world):
+    first, second = stale_pair(world, a=spec(pieces=2), b=spec(pieces=2))
+    assert claim(first, "a", "vm-000000", 3) is not None
+    assert first.book.team("team").cpus == 8.0
+    ended = {("vm-000000", 1, 1): 1}
+    assert first.ledger.change("a", lambda job, _: job.without(ended, 1), {})
+    assert (first.book.team("team").cpus, first.book.team("team").charged[0]) == (4.0, 8.0)
+    second.mirror.catch_up(0.0, "claim")
+    assert claim(second, "b", "vm-000001", 3) is None  # only one more fits
+    assert claim(second, "b", "vm-000001", 1) is not None
+    first.mirror.catch_up(0.0, "claim")
+    assert first.ledger.change("a", lambda job, _: job.without({("vm-000000", 1, 1): 2}, 2), {})
+    assert (first.book.team("team").cpus, first.book.team("team").charged[0]) == (4.0, 4.0)
+    second.mirror.catch_up(0.0, "claim")
+    assert second.book.team("team").cpus == 4.0
+
+
+def test_a_cache_that_has_not_heard_of_ends_claims_too_little_and_never_too_much(world):
+    first, second = stale_pair(world, a=spec(pieces=2), b=spec(pieces=2))
+    assert claim(first, "a", "vm-000000", 3) is not None
+    second.mirror.catch_up(0.0, "claim")
+    assert first.ledger.change("a", lambda job, _: job.without({("vm-000000", 1, 1): 1}, 1), {})
+    assert second.book.team("team").cpus == 8.0
+    assert claim(second, "b", "vm-000001", 1) is None
+
+
+def test_several_jobs_go_into_one_transaction_and_share_their_teams_record(world):
+    first, _ = stale_pair(world, a=spec(pieces=1), b=spec(pieces=1), c=spec(pieces=1))
+
+    def make(job, usage):
+        if not first.settings.teams["team"].allows(usage.plus(job.spec, 1).cpus, 0.0):
+            return None
+        return job.with_claims([Claim("vm-000000", 1, 1, 1, 0.0, "north")])
+
+    before = world.state.revision
+    changed = first.ledger.change_all([Edit(name, make) for name in "abc"])
+    assert sorted(changed) == ["a", "b"]  # the third would be over the limit
+    assert world.state.revision == before + 1
+
+
+def test_pages_are_taken_over_as_of_one_revision(world):
+    """A job that is over, read before its end was written, next to a team's record read after it, would make the
+    team's usage look smaller than it is."""
+    first, second = stale_pair(world, a=spec(), b=spec())
+    assert claim(first, "a", "vm-000000", 1) is not None
+    assert first.ledger.change("a", lambda job, _: job.without({("vm-000000", 1, 1): 1}, 0), {})
+    whole = second.state.items
+
+    def paged(prefix, after):
+        rows, _, revision = whole(prefix, None)
+        if after is None:
+            page = [row for row in rows if row[0] <= JOB_KEY + "a"]
+            # between the pages the job ends for good, and its team's record with it
+            assert first.ledger.change("a", lambda job, _: replace(job, cancelled=True), {})
+            return page, True, revision
+        return [row for row in rows if row[0] > after], False, revision
+
+    second.state.items = paged
+    second.mirror._load()
+    assert second.book.get("a") is None
+    assert second.book.team("team").cpus == 0.0
+
+
+def test_a_kind_that_cannot_be_had_does_not_take_the_calls_of_one_that_can(world, monkeypatch):
+    leader = next(c for c in world.controllers.values() if c.coordinator.term is not None).rentals
+    box = leader.types["box"]
+    scarce, plenty = Offer(box, "north", True), Offer(box, "north", False)
+    monkeypatch.setattr("tidebend.service.rentals.to_rent",
+                        lambda *args, **more: [Rental(scarce, 5), Rental(plenty, 1)])
+    asked, waits = [], []
+    leader._order = lambda term, offer, machines: asked.append(offer)
+    for _ in range(6):
+        now = time.monotonic()
+        leader._refused(scarce, now)
+        waits.append(leader._shortage[scarce] - now)
+    leader._lead_since = (leader.coordinator.term, time.monotonic() - 10.0)
+    leader._rent(leader.coordinator.term, {})
+    assert asked == [plenty, scarce]
+    assert waits[3] > 2.0 * waits[0] and waits[5] <= 1.3 * 4 * leader.settings.lease_s
--- a/tests/world.py
+++ b/tests/world.py
@@ -311,7 +311,7 @@
                 left = self.capacity.get((body["hull"], body["harbor"], body["driftwood"]), 0)
                 held = sum(1 for row in self.machines.values() if row.gone_at is None
                            and (row.kind, row.zone, row.spot) == (body["hull"], body["harbor"], body["driftwood"]))
-                count = min(body["howMany"], left - held)
+                count = min(body["howMany"], int(left - held))
                 if count < 1:
                     return 503, {"error": "no capacity"}
                 boot_s = next(t["startupS"] for t in self.world.types if t["name"] == body["hull"])
--- a/tidebend/provisioning/__init__.py
+++ b/tidebend/provisioning/__init__.py
@@ -8,6 +8,9 @@
 from tidebend.protocol import MachineType
 from tidebend.scheduling import EPSILON, Amount, Want, need_of, times_fit
 
+# estimates are often wrong by half: count on tasks that take that much longer
+WRONG_BY = 1.5
+
 
 @dataclass(slots=True)
 class Capacity:
@@ -58,8 +61,7 @@
     if want.service or want.spec.kind == "gang":
         return want.waiting
     left = want.value.soft - now
-    # estimates are often wrong by half: count on tasks that take that much longer
-    turns = max(1, math.floor(left / max(1.5 * want.estimate, 0.1)))
+    turns = max(1, math.floor(left / max(WRONG_BY * want.estimate, 0.1)))
     return math.ceil(want.waiting / turns)
 
 
@@ -78,7 +80,7 @@
                    and want.zone_room(offer.zone) > 0 and not (want.keeps_off_gpus and offer.type.gpus > 0)]
         boot_s = min((offer.type.boot_s for offer in allowed), default=0.0)
         missing = min(_side_by_side(want, now), want.headroom, want.waiting)
-        slack = max(0.0, want.value.soft - now - want.estimate) if not want.service else 0.0
+        slack = max(0.0, want.value.soft - now - WRONG_BY * want.estimate) if not want.service else 0.0
         fitting = {kind.name for kind in {capacity.type for capacity in capacities}
                    if kind.fits(want.spec) and not (want.keeps_off_gpus and kind.gpus > 0)}
         for capacity in capacities:
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -29,6 +29,8 @@
 
 # what a machine is charged at least, in seconds; the protocol says so
 LEAST_CHARGE_S = 60.0
+# what the cloud has none of is asked for again after at most this many of the workers' leases
+MOST_PATIENCE = 4
 
 
 @dataclass
@@ -60,6 +62,7 @@
         self._timeout = max(2.0, settings.lease_s / 3.0)
         self._known: dict[str, Rented] = {}
         self._shortage: dict[Offer, float] = {}  # offer -> steady time until which it isn't asked for again
+        self._refusals: dict[Offer, int] = {}  # offer -> times in a row that there wasn't enough of it
         self._counter = 0
         self._types_at = -1e9
         self._strangers: dict[str, float] = {}
@@ -381,9 +384,17 @@
         for capacity in capacities:
             rank[capacity.zone] = rank.get(capacity.zone, 0) + 1
         capacities.sort(key=lambda c: (c.ready_in, c.spot))
-        for rental in to_rent(wants, capacities, offers, now=clock, rank=rank):
+        # Few calls are to be had, and each of them that finds no capacity is one less: what failed least goes first,
+        # so that the kinds that can't be had don't keep those waiting that can.
+        rentals = to_rent(wants, capacities, offers, now=clock, rank=rank)
+        for rental in sorted(rentals, key=lambda rental: self._refusals.get(rental.offer, 0)):
             self._order(term, rental.offer, min(50, rental.machines))
 
+    def _refused(self, offer: Offer, now: float) -> None:
+        """The cloud hasn't enough of it: asked for again after a while, a longer one each time."""
+        refusals = self._refusals[offer] = self._refusals.get(offer, 0) + 1
+        self._shortage[offer] = now + random.uniform(0.7, 1.3) * self.settings.lease_s * min(refusals, MOST_PATIENCE)
+
     def _order(self, term: int, offer: Offer, machines: int) -> None:
         self._counter += 1
         # A term is one election of one process, and the counter is never set back, not even when we regain the
@@ -402,8 +413,10 @@
             log.info("rented %d of %d %s in %s%s", len(names), machines, offer.type.name, offer.zone,
                      " (spot)" if offer.spot else "")
             if len(names) < machines:
-                self._shortage[offer] = now + self.settings.lease_s
+                self._refused(offer, now)
+            else:
+                self._refusals.pop(offer, None)
         elif status == 503 and isinstance(body, dict) and body.get("error") == "no capacity":
-            self._shortage[offer] = now + random.uniform(0.7, 1.3) * self.settings.lease_s
+            self._refused(offer, now)
         elif status not in (429, 503):
             log.error("cloud: unexpected %s to a rental: %s", status, body)
