Ends don't rest with the planner; a zone is left alone only if its controller holds it

Cause 1, from reading: on a large block the planner rests up to a fifth of a worker's lease, and ends rested with it, so that a job could be called done nearly 3 s late.

--- a/tidebend/coordination/__init__.py
+++ b/tidebend/coordination/__init__.py
@@ -122,8 +122,8 @@
         """Whether every live controller has tried and hears none of the block's machines."""
         return all(block in value.get("unheard", ()) for value, _ in self.mirror.under(NODE).values())
 
-    def left_alone(self, block: str) -> float | None:
-        """Since when the controller of the block's own zone, which held it, has been out of touch, if it is.
+    def left_alone(self, block: str) -> tuple[str, float] | None:
+        """The controller of the block's own zone, to which it was granted, and since when it is out of touch, if it is.
 
         A zone that is cut off goes on working inside: such a controller may answer its workers for as long as
         `answer_bound_s`, and their tasks go on.
@@ -131,7 +131,7 @@
         name, seen = self._at_home.get(block, ("", 0.0))
         if not name or self.mirror.get(NODE + name)[0] is not None:
             return None
-        return seen - self._lease_s  # it may have lost touch a lease before its grant ended
+        return name, seen - self._lease_s  # it may have lost touch a lease before its grant ended
 
     # Blocks
 
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -108,6 +108,7 @@
         self.gather_s = 0.2 * settings.lease_s
         # an array whose tasks follow one another as room comes up claims no more often than this: each time costs
         self.claim_pause_s = 0.5 * self.gather_s
+        self._rest_until = 0.0  # steady time
         self._claimed_at: dict[str, float] = {}  # job -> steady time of our last claim for it
         self.turn_s = 0.1 * settings.report_s
 
@@ -122,7 +123,6 @@
         while True:
             self.event.wait(2 * pause)
             self.event.clear()
-            began = time.monotonic()
             try:
                 self.mapping_event()
             except (Unavailable, Unknown) as error:
@@ -131,16 +131,21 @@
             except Exception:
                 log.exception("planner")
                 time.sleep(1.0)
-            # guards against a planner that starves the answers to workers and users: the longer an event takes, on
-            # a large block or a slow processor, the longer the pause after it
-            took = time.monotonic() - began
-            time.sleep(max(pause, min(REST * took, 0.2 * self.settings.lease_s)))
+            time.sleep(pause)
 
     def mapping_event(self) -> None:
-        """Claims before ends: when changes are short, room that is free goes to waiting work first."""
+        """Claims before ends: when changes are short, room that is free goes to waiting work first.
+
+        Planning rests for longer the longer it takes, on a large block or a slow processor, lest it starve the
+        answers to workers and users. Ends don't rest with it: users expect to hear of them.
+        """
         self.settle()
         try:
-            self.plan()
+            began = time.monotonic()
+            if began >= self._rest_until:
+                self.plan()
+                ended = time.monotonic()
+                self._rest_until = ended + min(REST * (ended - began), 0.2 * self.settings.lease_s)
         finally:
             self.record()
 
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -29,8 +29,6 @@
 
 # what a machine is charged at least, in seconds; the protocol says so
 LEAST_CHARGE_S = 60.0
-# what the cloud has none of is asked for again after at most this many of the workers' leases
-MOST_PATIENCE = 4
 
 
 @dataclass
@@ -169,8 +167,10 @@
         few = 2 * len(silent) <= max(total, 2) or unheard
         patience = self.settings.lease_s * (0.55 if few else 2.0)
         alone = self.coordinator.left_alone(block)
-        if unheard and alone is not None and len(silent) == total:
-            until = alone + self.settings.answer_bound_s
+        # Granted isn't held: a controller that was cut off before it learnt of its grant turns its workers away, and
+        # their tasks end with their leases. Its own news says what it holds.
+        if unheard and alone is not None and len(silent) == total and block in self.link.peers[alone[0]].blocks:
+            until = alone[1] + self.settings.answer_bound_s
             if until > min(silent.values(), default=now):
                 self._move_out(silent, until, now)
                 return
@@ -391,9 +391,9 @@
             self._order(term, rental.offer, min(50, rental.machines))
 
     def _refused(self, offer: Offer, now: float) -> None:
-        """The cloud hasn't enough of it: asked for again after a while, a longer one each time."""
-        refusals = self._refusals[offer] = self._refusals.get(offer, 0) + 1
-        self._shortage[offer] = now + random.uniform(0.7, 1.3) * self.settings.lease_s * min(refusals, MOST_PATIENCE)
+        """The cloud hasn't enough of it: asked for again after a while, and after kinds that weren't refused."""
+        self._refusals[offer] = self._refusals.get(offer, 0) + 1
+        self._shortage[offer] = now + random.uniform(0.7, 1.3) * self.settings.lease_s
 
     def _order(self, term: int, offer: Offer, machines: int) -> None:
         self._counter += 1
