--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -13,9 +13,9 @@
 from tidebend.bookkeeping.jobs import Claim, Job
 from tidebend.bookkeeping.machines import Machine, orders
 from tidebend.coordination import block_of
-from tidebend.protocol import Report, TaskReport, parse_job
+from tidebend.protocol import MachineType, Report, TaskReport, parse_job
 from tidebend.provisioning import Offer, Rental
-from tidebend.scheduling import Placement
+from tidebend.scheduling import Place, Placement, Timeline, Want, value_of
 from tidebend.service.ledger import Edit, packed_bytes
 from tidebend.service.planner import _Ends
 
@@ -309,3 +309,18 @@
     rentals.release = given_up.extend
     rentals._silent("north.0", {"vm-000000": now - 6.0}, 1, now)
     assert given_up == released
+
+
+def test_no_room_is_made_where_the_work_would_not_be_placed(world):
+    """A replica that keeps off GPUs gets no room on a machine that has some, however little a stop there loses."""
+    planner = world.controllers["n0"].planner
+    kinds = [MachineType(name, 8.0, gpus, 32.0, 50.0, 1.0, 1.0, 0.4, 10.0, ("north",)) for name, gpus in
+             (("plain", 0.0), ("accelerated", 2.0))]
+    rows = []
+    for kind, lost in zip(kinds, (50.0, 0.0), strict=True):
+        victim = (lost, ("req-v", 0, 1), 0.0, (8.0, 0.0, 1.0), 1)
+        place = Place(f"m-{kind.name}", kind, "north", False, Timeline(0.0, (0.0, 0.0, 0.0)))
+        rows.append((place, replace(machine_with(), name=f"m-{kind.name}"), (0.0, 0.0, 31.0), [victim]))
+    made = spec(shape="service", rank="critical", vcpus=2.0, driftwood=False)
+    planner._make_room(Want("req-s", made, value_of(made, 0.0, 1.0), 1.0, 1, keeps_off_gpus=True), 3, list(rows), 0.0)
+    assert [bool(machine.stops) for _, machine, _, _ in rows] == [True, False]
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -8,7 +8,7 @@
 from tidebend import scheduling
 from tidebend.bookkeeping.tasksets import from_text, lowest, to_text
 from tidebend.protocol import JobSpec, MachineType
-from tidebend.scheduling import Place, Timeline, Value, Want, _allowed, _slot, map_tasks, need_of, times_fit, value_of
+from tidebend.scheduling import Place, Timeline, Value, Want, _slot, allowed_on, map_tasks, need_of, times_fit, value_of
 
 KIND = MachineType("box", 8.0, 0.0, 32.0, 50.0, 1.0, 1.0, 0.4, 30.0, ("north", "south"))
 
@@ -101,11 +101,11 @@
     placements = []
     wants = [want for want in wants if want.waiting > 0]
     while True:
-        if not any(times_fit(p.timeline.free[0], need_of(w.spec)) and _allowed(w, p)
+        if not any(times_fit(p.timeline.free[0], need_of(w.spec)) and allowed_on(w, p)
                    for w in wants for p in places if w.waiting > 0):
             return placements
         slots = [(_slot(w, p, now, now + horizon), i, j) for i, w in enumerate(wants) for j, p in enumerate(places)
-                 if w.waiting > 0 and _allowed(w, p)]
+                 if w.waiting > 0 and allowed_on(w, p)]
         slots = sorted(s for s in slots if s[0] is not None)
         if not slots:
             return placements
--- a/tidebend/scheduling/__init__.py
+++ b/tidebend/scheduling/__init__.py
@@ -214,7 +214,8 @@
     return max([EPSILON] + [need / have for need, have in zip(need_of(spec), most, strict=True) if have > 0])
 
 
-def _allowed(want: Want, place: Place) -> bool:
+def allowed_on(want: Want, place: Place) -> bool:
+    """Whether a want may be placed on a machine at all."""
     if want.keeps_off_gpus and place.type.gpus > 0:
         return False
     if want.service and place.until < math.inf:
@@ -259,7 +260,7 @@
 def _place_gang(want: Want, places: list[Place], now: float, latest: float) -> list[Placement] | None:
     """Places for all tasks at one time, the earliest there is; nothing if the whole gang doesn't fit."""
     need = need_of(want.spec)
-    usable = [place for place in places if _allowed(want, place) and place.until == math.inf]
+    usable = [place for place in places if allowed_on(want, place) and place.until == math.inf]
     starts = sorted({max(now, time) for place in usable for time in place.timeline.times if time <= latest} | {now})
     usable.sort(key=lambda place: (place.fetch_s(want.spec), place.name))
     groups: list[list[Place]] = [usable]
@@ -306,7 +307,7 @@
         free = place.timeline.free[0]
         if free[0] + EPSILON < self._least:
             return False
-        return any(want.waiting > 0 and times_fit(free, need) and _allowed(want, place)
+        return any(want.waiting > 0 and times_fit(free, need) and allowed_on(want, place)
                    for want, need in self._needs)
 
     def look_again(self, place: Place) -> None:
@@ -363,7 +364,7 @@
             # begins before the first task there ends.
             need = need_of(want.spec)
             offered[entry] = {spot for spot in open_set if times_fit(places[spot].timeline.free[0], need)
-                              and _allowed(want, places[spot])}
+                              and allowed_on(want, places[spot])}
             looked[entry] = 0
             for spot in offered[entry]:
                 offer(entry, spot)
@@ -375,7 +376,7 @@
                 looked[entry] = at + LOOK
                 for _, spot in order[at:at + LOOK]:
                     place = places[spot]
-                    if (spot not in offered[entry] and _allowed(want, place)
+                    if (spot not in offered[entry] and allowed_on(want, place)
                             and (not place.changes or place.name in startable.names)):
                         offer(entry, spot)
                 look_later(entry)
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -21,6 +21,7 @@
     Placement,
     Timeline,
     Want,
+    allowed_on,
     is_reserved,
     largest_share,
     map_tasks,
@@ -535,7 +536,8 @@
         for number, (place, _, free, victims) in enumerate(candidates):
             kind = (place.type.name, place.zone, place.spot)
             if kind not in allowed:
-                allowed[kind] = place.allowed(want.spec)
+                # where it may be placed, no other: GPU machines were cleared for replicas that then kept off them
+                allowed[kind] = allowed_on(want, place)
             if allowed[kind] and rooms[place.zone] > 0:
                 cost = self._cheapest(free, victims, need, rank)
                 if cost is not None:
@@ -569,7 +571,8 @@
             for index in members(claim.tasks):
                 for dimension in range(3):
                     free[dimension] -= amount[dimension]
-                if job.spec.kind != "service":
+                # a gang of several loses all its tasks' work with one of them, and isn't stopped in order yet
+                if job.spec.kind == "array" or (job.spec.kind == "gang" and job.spec.tasks == 1):
                     key = (job.id, index, claim.attempt)
                     since = machine.running_since.get(key)
                     ran = 0.0 if since is None else now - since
