Gangs' machines in a cut zone are waited for; the cloud's list is asked for less often

A machine with nothing but gangs is now waited for by the share of boot and fetch for which an idle one is kept. And the list, 10 s late there, took half of the cloud's two calls a second; it is now asked for once in a quarter of its lag. Also: a field and two parameters that nobody used are gone.

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -324,3 +324,18 @@
     made = spec(shape="service", rank="critical", vcpus=2.0, driftwood=False)
     planner._make_room(Want("req-s", made, value_of(made, 0.0, 1.0), 1.0, 1, keeps_off_gpus=True), 3, list(rows), 0.0)
     assert [bool(machine.stops) for _, machine, _, _ in rows] == [True, False]
+
+
+def test_a_gangs_machine_in_a_cut_zone_is_waited_for_while_another_would_boot_and_fetch(world):
+    first, _ = stale_pair(world, a=spec(), g=spec(shape="group", sizeGb=20.0))
+    assert claim(first, "a", "vm-000100", 1) is not None
+    assert claim(first, "g", "vm-000101", 1) is not None
+    given_up = []
+    first.rentals.release = lambda names: given_up.append(sorted(names))
+    now = time.monotonic()
+    silent = {"vm-000100": now - 30.0, "vm-000101": now - 30.0}
+    first.rentals._move_out(silent, now - 1.0, now)
+    assert given_up == [["vm-000100"]]
+    worth = first.settings.knobs.keep_idle * (10.0 + 20.0)  # the stand-in's boot and fetch
+    first.rentals._move_out(silent, now - worth - 1.0, now)
+    assert given_up[1] == ["vm-000100", "vm-000101"]
--- a/tidebend/scheduling/__init__.py
+++ b/tidebend/scheduling/__init__.py
@@ -296,9 +296,7 @@
     """The machines on which some waiting task could start now."""
 
     def __init__(self, wants: list[Want], places: list[Place], now: float) -> None:
-        self._now = now
-        self._wants = [want for want in wants if want.not_before <= now]
-        self._needs = [(want, need_of(want.spec)) for want in self._wants]
+        self._needs = [(want, need_of(want.spec)) for want in wants if want.not_before <= now]
         # most machines are full, and seen to be so by the least that any task needs
         self._least = min((need[0] for _, need in self._needs), default=math.inf)
         self.names = {place.name for place in places if self._any(place)}
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -441,7 +441,7 @@
             if placement.now:
                 chosen.setdefault(placement.job, []).append(placement)
         self._claim(chosen, places)
-        self._preempt([want for want in wants if want.waiting > 0], placements, places, now, clock)
+        self._preempt([want for want in wants if want.waiting > 0], places, now, clock)
 
     def _claim(self, chosen: dict[str, list[Placement]], places: dict[str, tuple[Place, Machine, Grant]]) -> None:
         at = time.time()
@@ -499,8 +499,8 @@
 
     # Room for what may preempt
 
-    def _preempt(self, waiting: list[Want], placements: list[Placement],
-                 places: dict[str, tuple[Place, Machine, Grant]], now: float, clock: float) -> None:
+    def _preempt(self, waiting: list[Want], places: dict[str, tuple[Place, Machine, Grant]], now: float,
+                 clock: float) -> None:
         """Stop what loses least, for waiting work of a higher priority that finds no room now."""
         blocks = sorted(self.coordinator.table())
         mine = {block_of(place.zone) for place, _, _ in places.values()}
@@ -561,8 +561,7 @@
             self._making_room[want.job] = now + 2.0 * self.settings.report_s
             candidates[:] = [row for number, row in enumerate(candidates) if number not in used]
 
-    def _victims(self, machine: Machine, kind: MachineType,
-                 now: float) -> tuple[tuple[float, float, float], list[_Victim]]:
+    def _victims(self, machine: Machine, kind: MachineType, now: float) -> tuple[_Amounts, list[_Victim]]:
         """What a machine has free, and its tasks that may be stopped, those that lose least first."""
         free = [kind.cpus, kind.gpus, kind.memory_gb]
         victims = []
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -39,7 +39,6 @@
     zone: str
     spot: bool
     since: float  # steady time of the rental
-    listed: float = 0.0  # steady time at which the list last showed it
 
 
 class Rentals:
@@ -63,6 +62,7 @@
         self._refusals: dict[Offer, int] = {}  # offer -> times in a row that there wasn't enough of it
         self._counter = 0
         self._types_at = -1e9
+        self._listed: tuple[float, dict[str, ListedMachine]] | None = None  # steady time and the cloud's last list
         self._strangers: dict[str, float] = {}
         self._lead_since: tuple[int | None, float] = (None, 0.0)
         self.gone_news: dict[str, float] = {}
@@ -190,11 +190,12 @@
 
         Until then nothing there is lost, and the cut may end. But once it has ended its tasks all at once, the zone's
         replicas would be missed all at once: so, in the second half of that time, they are moved out one by one, and
-        what remains goes at its end.
+        what remains goes at its end; but a gang's machine is waited for longer, by a share of what another would take
+        to boot and fetch, since it still has the image when the cut ends.
         """
         lease_s = self.settings.lease_s
         doomed = [name for name, since in silent.items()
-                  if (now > until and now - since > 0.55 * lease_s)
+                  if (now > until + self._worth_waiting_s(name) and now - since > 0.55 * lease_s)
                   or (now - since > lease_s and self._any_cancelled(name))]
         serving = sorted(name for name in silent if name not in doomed
                          and any(job.spec.kind == "service" for job, _ in self.book.on_machine(name)))
@@ -205,6 +206,17 @@
         if doomed:
             self.release(doomed[:100])
 
+    def _worth_waiting_s(self, name: str) -> float:
+        jobs = [job for job, _ in self.book.on_machine(name)]
+        if not jobs or any(job.spec.kind != "gang" for job in jobs):
+            return 0.0
+        return max(min((self._replacement_s(kind, job.spec.image_gb) for kind in self.types.values()
+                        if kind.fits(job.spec)), default=0.0) for job in jobs)
+
+    def _replacement_s(self, kind: MachineType, image_gb: float) -> float:
+        """What a machine is worth waiting for, by what another would need to be as useful: boot and image."""
+        return self.settings.knobs.keep_idle * (kind.boot_s + image_gb / max(kind.fetch_gb_per_s, 1e-6))
+
     def _spare(self, own: list[Machine], now: float) -> None:
         for machine in own:
             if self.book.on_machine(machine.name):
@@ -238,12 +250,11 @@
                     self._empty(machine)
 
     def _keep_s(self, machine: Machine) -> float:
-        """How long an idle machine is worth keeping, by what another would need to be as useful: boot and images."""
+        """How long an idle machine is worth keeping."""
         kind = self.types.get(machine.type)
         if kind is None:
             return LEAST_CHARGE_S
-        images = max(machine.images.values(), default=0.0)
-        return self.settings.knobs.keep_idle * (kind.boot_s + images / max(kind.fetch_gb_per_s, 1e-6))
+        return self._replacement_s(kind, max(machine.images.values(), default=0.0))
 
     def _empty(self, machine: Machine) -> None:
         for job, claim in self.book.on_machine(machine.name):
@@ -274,12 +285,16 @@
                 self._types_at = now
         if term is None or not self.types:
             self._lead_since = (None, 0.0)
+            self._listed = None
             return
         if self._lead_since[0] != term:
             self._lead_since = (term, now)
-        listed = self._list()
-        if listed is not None:
-            self._rent(term, listed)
+        # a list that is late by seconds isn't asked for each second: the calls are needed for rentals
+        if self._listed is None or now - self._listed[0] >= 0.25 * self.settings.list_lag_s:
+            listed = self._list()
+            self._listed = None if listed is None else (now, listed)
+        if self._listed is not None:
+            self._rent(term, self._listed[1])
 
     def _list(self) -> dict[str, ListedMachine] | None:
         found: dict[str, ListedMachine] = {}
@@ -323,8 +338,7 @@
         failed = [name for name, row in listed.items() if row.state == "failed" and name not in gone]
         for name, row in listed.items():
             if name not in gone and row.state != "failed":
-                known = self._known.setdefault(name, Rented(row.type, row.zone, row.spot, now - row.age_s))
-                known.listed = now
+                self._known.setdefault(name, Rented(row.type, row.zone, row.spot, now - row.age_s))
         late = []
         for name, known in list(self._known.items()):
             kind = self.types.get(known.type)
