After a reread: body time-out as it was, fetch times and amounts in one place

The time to fetch an image was written in four places and is now MachineType.fetch_s; the planner's amounts are the scheduling layer's; the share of a lease after which silent machines are given up has one name; a counter that nobody read is gone; machines in cut zones are passed over while room is added up, not sorted out afterwards. No other behaviour changes.

--- a/tidebend/protocol/__init__.py
+++ b/tidebend/protocol/__init__.py
@@ -74,6 +74,9 @@
     boot_s: float
     zones: tuple[str, ...]
 
+    def fetch_s(self, image_gb: float) -> float:
+        return image_gb / max(self.fetch_gb_per_s, 1e-6)
+
     def fits(self, spec: JobSpec) -> bool:
         return (spec.cpus <= self.cpus + 1e-6 and spec.gpus <= self.gpus + 1e-6
                 and spec.memory_gb <= self.memory_gb + 1e-6
--- a/tidebend/scheduling/__init__.py
+++ b/tidebend/scheduling/__init__.py
@@ -153,7 +153,7 @@
     def fetch_s(self, spec: JobSpec) -> float:
         if spec.image in self.images or spec.image_gb <= 0:
             return 0.0
-        return spec.image_gb / max(self.type.fetch_gb_per_s, EPSILON) * (1 + self.fetching)
+        return self.type.fetch_s(spec.image_gb) * (1 + self.fetching)
 
     def allowed(self, spec: JobSpec) -> bool:
         return (spec.spot or not self.spot) and self.type.fits(spec) and (
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -17,6 +17,7 @@
 from tidebend.coordination import Coordinator, Grant, block_of
 from tidebend.protocol import PRIORITIES, JobSpec, MachineType
 from tidebend.scheduling import (
+    Amount,
     Place,
     Placement,
     Timeline,
@@ -39,9 +40,8 @@
 REST = 12.0
 
 Key = tuple[str, int, int]  # job, index, attempt
-_Amounts = tuple[float, float, float]
-_Victim = tuple[float, Key, float, _Amounts, int]  # loss, task, grace, amounts, priority
-_Candidate = tuple[Place, Machine, _Amounts, list[_Victim]]
+_Victim = tuple[float, Key, float, Amount, int]  # loss, task, grace, amounts, priority
+_Candidate = tuple[Place, Machine, Amount, list[_Victim]]
 
 
 def _order(job: str, blocks: list[str]) -> list[str]:
@@ -306,7 +306,7 @@
         if since is not None:
             left = estimate - (now - since)
         else:
-            fetch = 0.0 if job.spec.image in machine.images else job.spec.image_gb / max(kind.fetch_gb_per_s, 1e-6)
+            fetch = 0.0 if job.spec.image in machine.images else kind.fetch_s(job.spec.image_gb)
             left = estimate + max(0.0, fetch - (clock - claim.at))
         # an overrunning task is seen at each event anew, and planned around
         return max(left, 0.1 * estimate, self.settings.report_s)
@@ -331,7 +331,7 @@
             return None
         # ends are rounded up to a report's interval: they are known no better, and the timeline has fewer steps
         step = self.settings.report_s
-        ends: dict[float, tuple[float, float, float]] = {}
+        ends: dict[float, Amount] = {}
         fetching = set()
         for job, claim in held:
             need = need_of(job.spec)
@@ -458,7 +458,6 @@
             self._ends_since.pop(name, None)
             self._ends.pop(name, None)
             self._claimed_at[name] = now
-        for name in changed:
             log.debug("claimed for %s: %s", name, [(p.machine, p.tasks) for p in chosen[name]])
         self.send({placement.machine for name in changed for placement in chosen[name]})
 
@@ -561,7 +560,7 @@
             self._making_room[want.job] = now + 2.0 * self.settings.report_s
             candidates[:] = [row for number, row in enumerate(candidates) if number not in used]
 
-    def _victims(self, machine: Machine, kind: MachineType, now: float) -> tuple[_Amounts, list[_Victim]]:
+    def _victims(self, machine: Machine, kind: MachineType, now: float) -> tuple[Amount, list[_Victim]]:
         """What a machine has free, and its tasks that may be stopped, those that lose least first."""
         free = [kind.cpus, kind.gpus, kind.memory_gb]
         victims = []
@@ -582,7 +581,7 @@
         return tuple(free), sorted(victims)
 
     @staticmethod
-    def _cheapest(free: _Amounts, victims: list[_Victim], need: _Amounts,
+    def _cheapest(free: Amount, victims: list[_Victim], need: Amount,
                   rank: int) -> tuple[float, list[tuple[Key, float]]] | None:
         """The stops that make room for one task on a machine, with what they lose."""
         lost = 0.0
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -29,6 +29,8 @@
 
 # what a machine is charged at least, in seconds; the protocol says so
 LEAST_CHARGE_S = 60.0
+# a machine that nobody hears is given up after this share of the workers' lease
+GIVEN_UP_AFTER = 0.55
 
 
 @dataclass
@@ -165,7 +167,7 @@
         # If most are silent the network is to blame rather than they, and they may go on working on their side.
         unheard = self.coordinator.heard_by_nobody(block)
         few = 2 * len(silent) <= max(total, 2) or unheard
-        patience = self.settings.lease_s * (0.55 if few else 2.0)
+        patience = self.settings.lease_s * (GIVEN_UP_AFTER if few else 2.0)
         alone = self.coordinator.left_alone(block)
         # Granted isn't held: a controller that was cut off before it learnt of its grant turns its workers away, and
         # their tasks end with their leases. Its own news says what it holds.
@@ -195,7 +197,7 @@
         """
         lease_s = self.settings.lease_s
         doomed = [name for name, since in silent.items()
-                  if (now > until + self._worth_waiting_s(name) and now - since > 0.55 * lease_s)
+                  if (now > until + self._worth_waiting_s(name) and now - since > GIVEN_UP_AFTER * lease_s)
                   or (now - since > lease_s and self._any_cancelled(name))]
         serving = sorted(name for name in silent if name not in doomed
                          and any(job.spec.kind == "service" for job, _ in self.book.on_machine(name)))
@@ -215,7 +217,7 @@
 
     def _replacement_s(self, kind: MachineType, image_gb: float) -> float:
         """What a machine is worth waiting for, by what another would need to be as useful: boot and image."""
-        return self.settings.knobs.keep_idle * (kind.boot_s + image_gb / max(kind.fetch_gb_per_s, 1e-6))
+        return self.settings.knobs.keep_idle * (kind.boot_s + kind.fetch_s(image_gb))
 
     def _spare(self, own: list[Machine], now: float) -> None:
         for machine in own:
@@ -365,12 +367,13 @@
             self.release((failed + late)[:100])
         if now - self._lead_since[1] < 1.5:
             return
+        # what is rented in a zone that nobody hears can't be used, nor what stands there
+        cut = {zone for zone in self.settings.zones if self.coordinator.heard_by_nobody(block_of(zone))}
         capacities = []
-        booting = 0
         for name in sorted(set(self._known) | set(heard)):
             known = heard.get(name) or self._known[name]
             kind = self.types.get(known.type)
-            if kind is None or name in late or name in gone:
+            if kind is None or name in late or name in gone or known.zone in cut:
                 continue
             free = [kind.cpus, kind.gpus, kind.memory_gb]
             returns = []
@@ -381,17 +384,13 @@
                 if job.spec.kind != "service":
                     # half of the images have to be fetched first, say; and what overruns may go on for long
                     estimate = self.planner.estimates.corrected(job.spec)
-                    left = estimate + 0.5 * job.spec.image_gb / max(kind.fetch_gb_per_s, 1e-6) - (clock - claim.at)
+                    left = estimate + 0.5 * kind.fetch_s(job.spec.image_gb) - (clock - claim.at)
                     returns.append((max(left, 0.3 * estimate), amount))
             ready = 0.0
             if name not in heard:
-                booting += 1
                 ready = max(1.0, kind.boot_s - (now - known.since))
             capacities.append(Capacity(kind, known.zone, known.spot, tuple(free), ready, returns))
         wants = [want for want in (self.planner.want(job, now, clock) for job in self.book.live()) if want]
-        # what is rented in a zone that nobody hears can't be used
-        cut = {zone for zone in self.settings.zones if self.coordinator.heard_by_nobody(block_of(zone))}
-        capacities = [capacity for capacity in capacities if capacity.zone not in cut]
         offers = [Offer(kind, zone, spot) for kind in self.types.values() for zone in kind.zones if zone not in cut
                   for spot in (True, False) if self._shortage.get(Offer(kind, zone, spot), 0.0) < now]
         rank: dict[str, int] = {}
--- a/tidebend/transport/__init__.py
+++ b/tidebend/transport/__init__.py
@@ -140,13 +140,10 @@
         if length > MAX_BODY:
             self.close_connection = True
             raise BadRequest("the body is longer than 64 KiB")
-        if length and len(self.rfile.peek(1)) >= length:
-            data = self.rfile.read(length)  # it came with the headers, as most do: no need to set any time-outs
-        else:
-            # a sender that is slow with its body doesn't hold the thread for long
-            self.connection.settimeout(self.server.body_s)
-            data = self.rfile.read(length)
-            self.connection.settimeout(self.server.idle_s)
+        # a sender that is slow with its body doesn't hold the thread for long
+        self.connection.settimeout(self.server.body_s)
+        data = self.rfile.read(length)
+        self.connection.settimeout(self.server.idle_s)
         self._read = True
         if len(data) < length:
             self.close_connection = True
