--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -9,13 +9,14 @@
 
 from tests.test_scenarios import JOB
 from tests.world import World
+from tidebend.bookkeeping.claims import Claim
 from tidebend.bookkeeping.jobs import JOB as JOB_KEY
-from tidebend.bookkeeping.jobs import Claim, Job
+from tidebend.bookkeeping.jobs import Job
 from tidebend.bookkeeping.machines import Machine, orders
 from tidebend.coordination import block_of
 from tidebend.protocol import MachineType, Report, TaskReport, parse_job
 from tidebend.provisioning import Offer, Rental
-from tidebend.scheduling import Place, Placement, Timeline, Want, value_of
+from tidebend.scheduling import Place, Placement, Timeline, Want, own_demand, value_of
 from tidebend.service.ledger import Edit, packed_bytes
 from tidebend.service.planner import _Ends
 
@@ -200,21 +201,34 @@
     assert Job.unpack("req-a", json.loads(json.dumps(job.pack())), 1) == job
 
 
-def test_a_full_record_takes_no_more_claims_and_still_records_ends(world):
-    first, _ = stale_pair(world, a=spec(pieces=100_000, vcpus=0.001, memoryGb=0.0))
-    first.ledger.value_bytes = 600
+def test_a_record_that_is_full_becomes_a_head_with_parts_of_bounded_size(world):
+    """As production wrote it and larger than may now be written: parts first, each step in few changes."""
+    first, second = stale_pair(world, a=spec(pieces=100_000, vcpus=0.0, memoryGb=0.0))
+    first.ledger.value_bytes, first.ledger.most_writes = 600, 4
+    largest, whole = [], world.state.transact
+    world.state.transact = lambda body: (largest.append((len(body["writes"]), max(
+        packed_bytes(row.get("v")) for row in body["writes"]))), whole(body))[1]
     now = time.monotonic()
     places = first.planner.places(now, time.time())
-    group = [Placement("a", name, 2000, now, now + 1, True) for name in places]
+    group = [Placement("a", name, 40, now, now + 1, True) for name in places]
     for _ in range(20):
         first.planner._claim({"a": group}, places)
     job = first.book.get("a")
-    assert 0 < len(job.claims) < 20 and first.ledger.fits(job)
-    # every other one done: too scattered for the record, which says then that they have ended
-    everything = {(c.machine, c.session, c.attempt): c.tasks for c in job.claims}
+    assert job.parts and len(job.claims) > 20 and job.charged == job.running
+    # every other one done: as scattered as can be
+    everything = job.places(places)
     done = job.claimed & int("01" * 50_000, 2)
-    assert first.ledger.change("a", lambda job, _: first.planner._without(job, _, _Ends(everything, done)), {})
-    assert not first.book.get("a").claims
+    while first.book.get("a").claims:
+        assert first.ledger.change("a", lambda job, _: first.planner._without(job, _, _Ends(everything, done)), {})
+    after = first.book.get("a")
+    assert (after.done, after.charged, after.started) == (done, job.charged, job.started)
+    second.mirror.catch_up(0.0, "claim")
+    assert replace(second.book.get("a"), parts=None) == replace(after, parts=None)
+    # cancelled, its parts go first and the team's record is as if it had never been
+    while first.book.get("a"):
+        assert first.ledger.change("a", lambda job, _: replace(job, cancelled=True), {})
+    assert first.book.team("team").charged == (0.0, 0.0) and not first.book.part_versions("a")
+    assert max(changes for changes, _ in largest) <= 4 and max(size for _, size in largest) <= 600
 
 
 # A team's record counts claims, the jobs' records count ends
@@ -322,7 +336,8 @@
         place = Place(f"m-{kind.name}", kind, "north", False, Timeline(0.0, (0.0, 0.0, 0.0)))
         rows.append((place, replace(machine_with(), name=f"m-{kind.name}"), (0.0, 0.0, 31.0), [victim]))
     made = spec(shape="service", rank="critical", vcpus=2.0, driftwood=False)
-    planner._make_room(Want("req-s", made, value_of(made, 0.0, 1.0), 1.0, 1, keeps_off_gpus=True), 3, list(rows), 0.0)
+    want = Want("req-s", made, value_of(own_demand(made, 0.0, 1.0), 0.0, 1.0), 1.0, 1, keeps_off_gpus=True)
+    planner._make_room(want, 3, list(rows), 0.0)
     assert [bool(machine.stops) for _, machine, _, _ in rows] == [True, False]
 
 
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -8,7 +8,19 @@
 from tidebend import scheduling
 from tidebend.bookkeeping.tasksets import from_text, lowest, to_text
 from tidebend.protocol import JobSpec, MachineType
-from tidebend.scheduling import Place, Timeline, Value, Want, _slot, allowed_on, map_tasks, need_of, times_fit, value_of
+from tidebend.scheduling import (
+    Place,
+    Timeline,
+    Value,
+    Want,
+    _slot,
+    allowed_on,
+    map_tasks,
+    need_of,
+    own_demand,
+    times_fit,
+    value_of,
+)
 
 KIND = MachineType("box", 8.0, 0.0, 32.0, 50.0, 1.0, 1.0, 0.4, 30.0, ("north", "south"))
 
@@ -29,7 +41,8 @@
 
 def want(job, **changes):
     made = spec(**changes)
-    return Want(job, made, value_of(made, 0.0, made.estimate_s), made.estimate_s, made.tasks)
+    return Want(job, made, value_of(own_demand(made, 0.0, made.estimate_s), 0.0, made.estimate_s), made.estimate_s,
+                made.tasks)
 
 
 def test_value_function():
--- /dev/null
+++ b/tidebend/bookkeeping/book.py
@@ -0,0 +1,216 @@
+"""The cache of live jobs, with the indexes over their claims and over who waits for whom."""
+
+from __future__ import annotations
+
+import threading
+from collections import OrderedDict
+from dataclasses import replace
+from typing import Any
+
+from tidebend.bookkeeping.claims import Claim
+from tidebend.bookkeeping.jobs import HEAD, JOB, Job
+from tidebend.bookkeeping.parts import PART, Part
+from tidebend.bookkeeping.teams import TEAM, Usage, amount
+from tidebend.storage import FINAL
+
+CANCELLED = "cancelled"
+Final = tuple[str, float]  # `done` or `cancelled`, and the time of day, 0 in records of the version before pipelines
+
+
+def unpack_final(value: Any) -> Final:
+    return (value, 0.0) if isinstance(value, str) else (value["state"], value["at"])
+
+
+def pack_final(state: str, at: float, plain: bool) -> Any:
+    """`plain`: as the version before pipelines writes it."""
+    return state if plain else {"state": state, "at": round(at, 3)}
+
+
+class JobBook:
+    """Live jobs, teams' usage and recent finals; changed only by what the mirror passes on, under its lock.
+
+    What jobs wait for is derived from final records, which never change: so it only ever grows, and is the same on
+    every controller.
+    """
+
+    def __init__(self, lock: threading.RLock, keep_finals: int) -> None:
+        self.lock = lock
+        self.jobs: dict[str, Job] = {}
+        self._heads: dict[str, Job] = {}  # as recorded, before anything is derived
+        self._parts: dict[str, dict[int, tuple[Any, int]]] = {}
+        self._charged: dict[str, tuple[float, float, int]] = {}  # team -> its record and the record's version
+        self._ended: dict[str, list[float]] = {}  # team -> what its live jobs' ended claims took
+        self._finals: OrderedDict[str, Final] = OrderedDict()
+        self._keep_finals = keep_finals
+        self._by_machine: dict[str, dict[str, list[tuple[Job, Claim]]]] = {}
+        self._waiters: dict[str, set[str]] = {}  # job -> live jobs that name it
+        self._needed: dict[str, Final] = {}  # finals of jobs that live ones name: kept however old
+
+    def _count_ended(self, job: Job, sign: int) -> None:
+        if job.ended:
+            ended = self._ended.setdefault(job.spec.team, [0.0, 0.0])
+            ended[0] += sign * job.ended * job.spec.cpus
+            ended[1] += sign * job.ended * job.spec.gpus
+
+    def on_change(self, key: str, value: Any, version: int) -> None:
+        if key.startswith(JOB) or key.startswith(HEAD):
+            name = key[len(JOB):] if key.startswith(JOB) else key[len(HEAD):]
+            self._head_changed(name, key, value, version)
+        elif key.startswith(PART):
+            name, _, number = key[len(PART):].rpartition("/")
+            parts = self._parts.setdefault(name, {})
+            if value is None:
+                parts.pop(int(number), None)
+                if not parts:
+                    del self._parts[name]
+            else:
+                parts[int(number)] = (value, version)
+            self._derive(name)
+        elif key.startswith(TEAM):
+            if value is None:
+                self._charged.pop(key[len(TEAM):], None)
+            else:
+                self._charged[key[len(TEAM):]] = (value[0], value[1], version)
+        elif key.startswith(FINAL) and value is not None:
+            self.remember_final(key[len(FINAL):], value)
+
+    def _head_changed(self, name: str, key: str, value: Any, version: int) -> None:
+        old = self._heads.get(name)
+        if value is None:
+            if old is None or old.key != key:
+                return  # it has moved to a record of the other kind
+            del self._heads[name]
+        else:
+            self._heads[name] = Job.unpack(name, value, version)
+        new = self._heads.get(name)
+        if (old.awaits if old else ()) != (new.awaits if new else ()):
+            for other in old.awaits if old else ():
+                waiters = self._waiters[other]
+                waiters.discard(name)
+                if not waiters:
+                    del self._waiters[other]
+                    self._needed.pop(other, None)
+            for other in new.awaits if new else ():
+                self._waiters.setdefault(other, set()).add(name)
+                if other in self._finals:
+                    self._needed[other] = self._finals[other]
+        self._derive(name)
+
+    def _outcome(self, name: str) -> Final | None:
+        """What has become of a job for good."""
+        final = self._needed.get(name) or self._finals.get(name)
+        if final is None:
+            job = self.jobs.get(name)
+            if job is not None and job.cancelled:
+                return CANCELLED, 0.0
+        return final
+
+    def _derive(self, name: str) -> None:
+        """Bring a job up to its records and those of what it waits for, then what waits for it, and so on."""
+        left = [name]
+        while left:
+            name = left.pop()
+            before = self._outcome(name)
+            self._index(self.jobs.pop(name, None), -1)
+            head = self._heads.get(name)
+            if head is not None:
+                if head.parts:
+                    rows = self._parts.get(name, {})
+                    head = head.assembled({number: Part.unpack(value, version, number * head.parts.size)
+                                           for number, (value, version) in rows.items()})
+                if head.awaits:
+                    outcomes = [self._outcome(other) for other in head.awaits]
+                    if any(outcome is not None and outcome[0] == CANCELLED for outcome in outcomes):
+                        head = replace(head, cancelled=True)
+                    elif None not in outcomes:
+                        head = replace(head, held=False, ready=max(head.submitted, *(at for _, at in outcomes)))
+                self.jobs[name] = head
+                self._index(head, 1)
+            if self._outcome(name) != before:
+                left += self._waiters.get(name, ())
+
+    def _index(self, job: Job | None, sign: int) -> None:
+        if job is None:
+            return
+        self._count_ended(job, sign)
+        for claim in job.claims:
+            if sign > 0:
+                self._by_machine.setdefault(claim.machine, {}).setdefault(job.id, []).append((job, claim))
+                continue
+            held = self._by_machine.get(claim.machine)
+            if held is not None:
+                held.pop(job.id, None)
+                if not held:
+                    del self._by_machine[claim.machine]
+
+    def remember_final(self, name: str, value: Any) -> None:
+        final = unpack_final(value)
+        with self.lock:
+            self._finals[name] = final
+            self._finals.move_to_end(name)
+            while len(self._finals) > self._keep_finals:
+                self._finals.popitem(last=False)
+            if name in self._waiters and name not in self._needed:
+                self._needed[name] = final
+                for waiter in list(self._waiters[name]):
+                    self._derive(waiter)
+
+    def final(self, name: str) -> str | None:
+        """`done` or `cancelled` if that is known to be the job's last state."""
+        with self.lock:
+            outcome = self._outcome(name)
+            return outcome[0] if outcome else None
+
+    def get(self, name: str) -> Job | None:
+        with self.lock:
+            return self.jobs.get(name)
+
+    def live(self) -> list[Job]:
+        with self.lock:
+            return list(self.jobs.values())
+
+    def part_versions(self, name: str) -> dict[int, int]:
+        """The records of a job's parts, those included that its head doesn't speak of yet."""
+        with self.lock:
+            return {number: version for number, (_, version) in self._parts.get(name, {}).items()}
+
+    def part_sources(self, name: str) -> dict[int, int]:
+        """The versions of the record from which a job's parts were split."""
+        with self.lock:
+            return {number: value.get("source", 0) for number, (value, _) in self._parts.get(name, {}).items()}
+
+    # Who waits for whom
+
+    def waiters(self) -> dict[str, list[str]]:
+        """For each job that is named by others that wait: those."""
+        with self.lock:
+            return {name: list(waiters) for name, waiters in self._waiters.items()}
+
+    def unresolved(self, name: str | None = None) -> list[str]:
+        """Jobs that others wait for, and that are over without our knowing how; of one job, or of all."""
+        with self.lock:
+            if name is None:
+                return [other for other in self._waiters if other not in self._needed and other not in self._heads]
+            found, seen, left = [], {name}, [name]
+            while left:
+                head = self._heads.get(left.pop())
+                for other in head.awaits if head else ():
+                    if other in seen or other in self._needed:
+                        continue
+                    seen.add(other)
+                    (left if other in self._heads else found).append(other)
+            return found
+
+    def team(self, name: str) -> Usage:
+        with self.lock:
+            cpus, gpus, version = self._charged.get(name, (0.0, 0.0, 0))
+            ended = self._ended.get(name, (0.0, 0.0))
+            return Usage(amount(cpus - ended[0]), amount(gpus - ended[1]), version, (cpus, gpus))
+
+    def on_machine(self, machine: str) -> list[tuple[Job, Claim]]:
+        with self.lock:
+            return [pair for pairs in self._by_machine.get(machine, {}).values() for pair in pairs]
+
+    def machines(self) -> set[str]:
+        with self.lock:
+            return set(self._by_machine)
--- a/tidebend/bookkeeping/jobs.py
+++ b/tidebend/bookkeeping/jobs.py
@@ -1,46 +1,21 @@
-"""Jobs as recorded in the state service, and the index over their claims."""
+"""Jobs as recorded in the state service."""
 
 from __future__ import annotations
 
-import threading
-from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
-from tidebend.bookkeeping.tasksets import from_text, interval, to_text
+from tidebend.bookkeeping.claims import Claim, pack_claims, unpack_claims
+from tidebend.bookkeeping.parts import Part, Parts, clipped
+from tidebend.bookkeeping.tasksets import from_text, interval, members, to_text
 from tidebend.protocol import JobSpec
-from tidebend.storage import FINAL, LIVE
+from tidebend.storage import LIVE
 
+# a job as the version before pipelines writes and reads it
 JOB = LIVE + "job/"
-TEAM = LIVE + "team/"
-
-
-@dataclass(frozen=True, slots=True)
-class Claim:
-    """Tasks of a job that hold a place on a machine: from before their start is sent until proof of their end."""
-
-    machine: str
-    session: int
-    attempt: int
-    tasks: int  # bitmap
-    at: float  # time of day
-    zone: str
-
-
-def pack_claims(claims: Iterable[Claim]) -> list[list[Any]]:
-    """Claims of one event are alike but for machine and tasks: a job on hundreds of machines must fit one value."""
-    groups: dict[tuple[int, int, float, str], list[str]] = {}
-    for claim in claims:
-        rows = groups.setdefault((claim.session, claim.attempt, round(claim.at, 1), claim.zone), [])
-        rows += (claim.machine, to_text(claim.tasks))
-    return [[*common, rows] for common, rows in groups.items()]
-
-
-def unpack_claims(groups: list[list[Any]]) -> tuple[Claim, ...]:
-    return tuple(Claim(machine, session, attempt, from_text(tasks), at, zone)
-                 for session, attempt, at, zone, rows in groups
-                 for machine, tasks in zip(rows[::2], rows[1::2], strict=True))
+# a job that waits or waited for others, or is kept in parts
+HEAD = LIVE + "head/"
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,6 +31,10 @@
     ended: int = 0  # claimed tasks whose claims have ended; only grows
     done: int = 0  # bitmap
     claims: tuple[Claim, ...] = ()
+    awaits: tuple[str, ...] = ()  # jobs to be done before any task starts; none once the first claim is recorded
+    ready: float | None = None  # time of day at which the last of them was done
+    held: bool = False  # one of them isn't known to be done: derived from their final records, never recorded
+    parts: Parts | None = None  # of a job that is too large for one record
 
     @property
     def claimed(self) -> int:
@@ -70,7 +49,12 @@
 
     @property
     def pending(self) -> int:
-        return 0 if self.cancelled else self.all_tasks & ~self.done & ~self.claimed
+        return 0 if self.cancelled or self.held else self.all_tasks & ~self.done & ~self.claimed
+
+    @property
+    def since(self) -> float:
+        """When it could first have started."""
+        return self.submitted if self.ready is None else self.ready
 
     @property
     def complete(self) -> bool:
@@ -92,7 +76,16 @@
         return zones
 
     def with_claims(self, added: Iterable[Claim]) -> Job:
-        return replace(self, claims=self.claims + tuple(added), started=self.started + 1)
+        return replace(self, claims=self.claims + tuple(added), started=self.started + 1, awaits=())
+
+    def places(self, machines: Iterable[str]) -> dict[tuple[str, int, int], int]:
+        """Its tasks on some machines, by (machine, session, attempt); a claim over several parts is in each of them."""
+        found: dict[tuple[str, int, int], int] = {}
+        for claim in self.claims:
+            if claim.machine in machines:
+                key = (claim.machine, claim.session, claim.attempt)
+                found[key] = found.get(key, 0) | claim.tasks
+        return found
 
     def without(self, ended: dict[tuple[str, int, int], int], done: int) -> Job:
         """Some claims' tasks ended; `ended` maps (machine, session, attempt) to a bitmap."""
@@ -106,10 +99,22 @@
         new = replace(self, claims=tuple(claims), done=self.done | done)
         return replace(new, ended=self.ended + self.running - new.running)
 
+    @property
+    def key(self) -> str:
+        return (HEAD if self.awaits or self.ready is not None or self.parts else JOB) + self.id
+
     def pack(self) -> dict[str, Any]:
+        """The record under `key`: under JOB just what the version before pipelines writes."""
         value: dict[str, Any] = {"spec": self.spec.pack(), "at": round(self.submitted, 3)}
         if self.cancelled:
             value["cancelled"] = 1
+        if self.awaits:
+            value["awaits"] = list(self.awaits)  # that they are done is for their final records to say
+        elif self.ready is not None:
+            value["ready"] = round(self.ready, 3)
+        if self.parts:
+            value["parts"] = self.parts.pack()
+            return value
         if self.started:
             value["started"] = self.started
         if self.ended:
@@ -124,125 +129,61 @@
     def unpack(name: str, value: dict[str, Any], version: int) -> Job:
         return Job(name, version, JobSpec.unpack(value["spec"]), value["at"], bool(value.get("cancelled")),
                    value.get("started", 0), value.get("ended", 0), from_text(value.get("done", "")),
-                   unpack_claims(value.get("claims", ())))
-
-
-@dataclass(frozen=True, slots=True)
-class Usage:
-    """What a team's claims take, and the team's record that says so.
-
-    The record counts all that the team's live jobs have ever claimed, and is written when they claim more and when a
-    job is over. Ends are counted in the jobs' own records: they are most of the writes, and so they neither cost a
-    second one nor collide with other jobs of the team. What a cache knows of ends is at most what has ended, so a
-    cache that is behind overestimates the usage; what it knows of the record is compared by the claim.
-    """
-
-    cpus: float = 0.0
-    gpus: float = 0.0
-    version: int = 0
-    charged: tuple[float, float] = (0.0, 0.0)  # CPUs and GPUs in the record
-
-    def plus(self, spec: JobSpec, tasks: int) -> Usage:
-        cpus, gpus = spec.cpus * tasks, spec.gpus * tasks
-        return replace(self, cpus=_amount(self.cpus + cpus), gpus=_amount(self.gpus + gpus),
-                       charged=(_amount(self.charged[0] + cpus), _amount(self.charged[1] + gpus)))
-
-    def freed(self, spec: JobSpec, tasks: int) -> Usage:
-        """Ends that go into the same transaction, or will soon."""
-        return replace(self, cpus=_amount(self.cpus - spec.cpus * tasks), gpus=_amount(self.gpus - spec.gpus * tasks))
-
-    def without(self, spec: JobSpec, tasks: int) -> Usage:
-        """A job is over: the record no longer counts what it claimed, all of which had ended."""
-        return replace(self, charged=(_amount(self.charged[0] - spec.cpus * tasks),
-                                      _amount(self.charged[1] - spec.gpus * tasks)))
-
-    def pack(self) -> list[float]:
-        return list(self.charged)
-
-
-def _amount(value: float) -> float:
-    return max(0.0, round(value, 6))
-
-
-class JobBook:
-    """Live jobs, teams' usage and recent finals; changed only by what the mirror passes on, under its lock."""
-
-    def __init__(self, lock: threading.RLock, keep_finals: int) -> None:
-        self.lock = lock
-        self.jobs: dict[str, Job] = {}
-        self._charged: dict[str, tuple[float, float, int]] = {}  # team -> its record and the record's version
-        self._ended: dict[str, list[float]] = {}  # team -> what its live jobs' ended claims took
-        self._finals: OrderedDict[str, str] = OrderedDict()
-        self._keep_finals = keep_finals
-        self._by_machine: dict[str, dict[str, list[tuple[Job, Claim]]]] = {}
-
-    def _count_ended(self, job: Job, sign: int) -> None:
-        if job.ended:
-            ended = self._ended.setdefault(job.spec.team, [0.0, 0.0])
-            ended[0] += sign * job.ended * job.spec.cpus
-            ended[1] += sign * job.ended * job.spec.gpus
-
-    def on_change(self, key: str, value: Any, version: int) -> None:
-        if key.startswith(JOB):
-            name = key[len(JOB):]
-            old = self.jobs.pop(name, None)
-            for claim in old.claims if old else ():
-                held = self._by_machine.get(claim.machine)
-                if held is not None:
-                    held.pop(name, None)
-                    if not held:
-                        del self._by_machine[claim.machine]
-            if old is not None:
-                self._count_ended(old, -1)
-            if value is not None:
-                job = Job.unpack(name, value, version)
-                self.jobs[name] = job
-                self._count_ended(job, 1)
-                for claim in job.claims:
-                    self._by_machine.setdefault(claim.machine, {}).setdefault(name, []).append((job, claim))
-        elif key.startswith(TEAM):
-            if value is None:
-                self._charged.pop(key[len(TEAM):], None)
-            else:
-                self._charged[key[len(TEAM):]] = (value[0], value[1], version)
-        elif key.startswith(FINAL) and value is not None:
-            self.remember_final(key[len(FINAL):], value)
-
-    def remember_final(self, name: str, state: str) -> None:
-        with self.lock:
-            self._finals[name] = state
-            self._finals.move_to_end(name)
-            while len(self._finals) > self._keep_finals:
-                self._finals.popitem(last=False)
-
-    def final(self, name: str) -> str | None:
-        """`done` or `cancelled` if that is known to be the job's last state."""
-        with self.lock:
-            state = self._finals.get(name)
-            if state is None:
-                job = self.jobs.get(name)
-                if job is not None and job.cancelled:
-                    return "cancelled"
-            return state
-
-    def get(self, name: str) -> Job | None:
-        with self.lock:
-            return self.jobs.get(name)
-
-    def live(self) -> list[Job]:
-        with self.lock:
-            return list(self.jobs.values())
-
-    def team(self, name: str) -> Usage:
-        with self.lock:
-            cpus, gpus, version = self._charged.get(name, (0.0, 0.0, 0))
-            ended = self._ended.get(name, (0.0, 0.0))
-            return Usage(_amount(cpus - ended[0]), _amount(gpus - ended[1]), version, (cpus, gpus))
-
-    def on_machine(self, machine: str) -> list[tuple[Job, Claim]]:
-        with self.lock:
-            return [pair for pairs in self._by_machine.get(machine, {}).values() for pair in pairs]
-
-    def machines(self) -> set[str]:
-        with self.lock:
-            return set(self._by_machine)
+                   unpack_claims(value.get("claims", ())), tuple(value.get("awaits", ())), value.get("ready"),
+                   bool(value.get("awaits")), Parts.unpack(value["parts"]) if "parts" in value else None)
+
+    # In parts
+
+    def assembled(self, known: dict[int, Part]) -> Job:
+        """The job of a head with its parts' records."""
+        parts = self.parts
+        assert parts is not None
+        rows = tuple((number, known[number]) for number in sorted(known) if parts.opened >> number & 1)
+        done = 0
+        if not self.cancelled:  # what of a cancelled job is closed need not have been done
+            for number in members(parts.closed):
+                done |= parts.mask(number)
+        claims: tuple[Claim, ...] = ()
+        for _, part in rows:
+            done |= part.done
+            claims += part.claims
+        return replace(self, parts=replace(parts, rows=rows), done=done & self.all_tasks, claims=claims,
+                       started=max([parts.started, *(part.started for _, part in rows)]),
+                       ended=parts.ended + sum(part.ended for _, part in rows))
+
+    def touched(self, before: Job) -> list[int]:
+        """The parts in which claims or done tasks differ."""
+        assert self.parts is not None
+        tasks = self.done ^ before.done
+        for claim in set(self.claims) ^ set(before.claims):
+            tasks |= claim.tasks
+        return self.parts.numbers(tasks)
+
+    def part_of(self, number: int, before: Job) -> Part:
+        """A part's record as it follows from the whole job; `before` is the job that this one was made from."""
+        assert self.parts is not None
+        mask = self.parts.mask(number)
+        old = dict(before.parts.rows).get(number, Part()) if before.parts else Part()
+        claims = clipped(self.claims, mask)
+        left = {(claim.machine, claim.session, claim.attempt): claim.tasks for claim in claims}
+        gone = sum((claim.tasks & ~left.get((claim.machine, claim.session, claim.attempt), 0)).bit_count()
+                   for claim in old.claims)
+        started = max([old.started, *(claim.attempt for claim in claims)])
+        return Part(old.version, started, old.ended + gone, self.done & mask, claims)
+
+    def is_over(self, number: int, part: Part) -> bool:
+        """Whether a part needs no record any more."""
+        assert self.parts is not None
+        return not part.claims and (self.cancelled or part.done == self.parts.mask(number) & self.all_tasks)
+
+    def without_parts(self, numbers: list[int]) -> Job:
+        """Those parts are closed: all their tasks are done, or the job is cancelled and none holds a place."""
+        parts = self.parts
+        assert parts is not None
+        bits = sum(1 << number for number in numbers)
+        gone = [part for number, part in parts.rows if number in numbers]
+        return replace(self, parts=replace(
+            parts, opened=parts.opened & ~bits, closed=parts.closed | bits,
+            ended=parts.ended + sum(part.ended for part in gone),
+            started=max([parts.started, *(part.started for part in gone)]),
+            rows=tuple(row for row in parts.rows if row[0] not in numbers)))
--- /dev/null
+++ b/tidebend/bookkeeping/teams.py
@@ -0,0 +1,47 @@
+"""Teams' records and what they use."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+
+from tidebend.protocol import JobSpec
+from tidebend.storage import LIVE
+
+TEAM = LIVE + "team/"
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What a team's claims take, and the team's record that says so.
+
+    The record counts all that the team's live jobs have ever claimed, and is written when they claim more and when a
+    job is over. Ends are counted in the jobs' own records: they are most of the writes, and so they neither cost a
+    second one nor collide with other jobs of the team. What a cache knows of ends is at most what has ended, so a
+    cache that is behind overestimates the usage; what it knows of the record is compared by the claim.
+    """
+
+    cpus: float = 0.0
+    gpus: float = 0.0
+    version: int = 0
+    charged: tuple[float, float] = (0.0, 0.0)  # CPUs and GPUs in the record
+
+    def plus(self, spec: JobSpec, tasks: int) -> Usage:
+        cpus, gpus = spec.cpus * tasks, spec.gpus * tasks
+        return replace(self, cpus=amount(self.cpus + cpus), gpus=amount(self.gpus + gpus),
+                       charged=(amount(self.charged[0] + cpus), amount(self.charged[1] + gpus)))
+
+    def freed(self, spec: JobSpec, tasks: int) -> Usage:
+        """Ends that go into the same transaction, or will soon."""
+        return replace(self, cpus=amount(self.cpus - spec.cpus * tasks), gpus=amount(self.gpus - spec.gpus * tasks))
+
+    def without(self, spec: JobSpec, tasks: int) -> Usage:
+        """A job is over: the record no longer counts what it claimed, all of which had ended."""
+        return replace(self, charged=(amount(self.charged[0] - spec.cpus * tasks),
+                                      amount(self.charged[1] - spec.gpus * tasks)))
+
+    def pack(self) -> list[float]:
+        return list(self.charged)
+
+
+def amount(value: float) -> float:
+    return max(0.0, round(value, 6))
--- a/tidebend/coordination/__init__.py
+++ b/tidebend/coordination/__init__.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from tidebend.coordination.formats import Formats
 from tidebend.settings import Peer, Settings
 from tidebend.storage import LIVE, Conflict, Mirror, NoSuchLease, StateClient, Unavailable, Unknown
 from tidebend.transport import FrameServer, receive_frame, send_frame
@@ -46,8 +47,9 @@
     """Keeps our lease, leads if it falls to us, and knows which blocks are ours."""
 
     def __init__(self, settings: Settings, state: StateClient, mirror: Mirror,
-                 took_up: Callable[[Grant], None]) -> None:
+                 took_up: Callable[[Grant], None], formats: Formats) -> None:
         self.settings = settings
+        self.formats = formats
         self.state = state
         self.mirror = mirror
         self._took_up = took_up
@@ -199,6 +201,10 @@
         try:
             self._take_up()
             self._lead()
+            self.formats.announce()
+            term = self.term
+            if term is not None:
+                self.formats.raise_if_all_read({LEADER: term})
         except Conflict as conflict:
             # our cache is behind: after a refusal of us alone the old watch may hang on for its full time
             log.info("blocks: conflict over %s", conflict)
--- /dev/null
+++ b/tidebend/coordination/formats.py
@@ -0,0 +1,62 @@
+"""Which format of records is in force: production's, or the one that came with pipelines.
+
+Format 1 is what the version before pipelines reads and writes. A process of that version drops what it doesn't know,
+so until none can come back, everything is written as it would write it. Each process announces the newest format that
+it reads, for good; once every configured controller has, the leader raises the format, for good too.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from tidebend.settings import Settings
+from tidebend.storage import LIVE, Mirror, StateClient
+
+log = logging.getLogger("formats")
+
+FORMAT = LIVE + "format"
+READS = LIVE + "reads/"
+PIPELINES = 2
+NEWEST = PIPELINES
+
+
+class Formats:
+    def __init__(self, settings: Settings, state: StateClient, mirror: Mirror) -> None:
+        self.settings = settings
+        self.state = state
+        self.mirror = mirror
+
+    @property
+    def version(self) -> int:
+        """The format in force, as far as we have read: it only grows, so that acting on an old reading is safe."""
+        value, _ = self.mirror.get(FORMAT)
+        return value["version"] if value else 1
+
+    @property
+    def pipelines(self) -> bool:
+        return self.version >= PIPELINES
+
+    def announce(self) -> None:
+        """Tell what this process reads. It stays when the process ends, which comes back no older."""
+        key = READS + self.settings.name
+        value, version = self.mirror.get(key)
+        if value is None or value["newest"] < NEWEST:
+            self._put(key, {"newest": NEWEST}, {key: version})
+
+    def raise_if_all_read(self, leader: dict[str, int]) -> None:
+        """The leader raises the format; `leader` is the condition that it still leads."""
+        if self.version >= NEWEST:
+            return
+        conditions = dict(leader)
+        for name in (self.settings.name, *(peer.name for peer in self.settings.peers)):
+            value, version = self.mirror.get(READS + name)
+            if value is None or value["newest"] < NEWEST:
+                return
+            conditions[READS + name] = version
+        _, version = self.mirror.get(FORMAT)
+        self._put(FORMAT, {"version": NEWEST}, {**conditions, FORMAT: version})
+        log.info("format %d is in force from now on; there is no way back below it", NEWEST)
+
+    def _put(self, key: str, value: dict[str, int], conditions: dict[str, int]) -> None:
+        revision = self.state.transact(conditions, [(key, value, None)], "lease")
+        self.mirror.apply([(key, value, revision)])
--- a/tidebend/protocol/__init__.py
+++ b/tidebend/protocol/__init__.py
@@ -227,6 +227,16 @@
     )
 
 
+def parse_awaits(body: dict[str, Any]) -> tuple[str, ...]:
+    """The jobs that have to be done before any task of this one starts."""
+    rows = body.get("awaits")
+    if rows is None:
+        return ()
+    if not isinstance(rows, list) or any(not isinstance(row, str) or not ID.match(row) for row in rows):
+        raise Invalid("awaits must be a list of job ids")
+    return tuple(dict.fromkeys(rows))
+
+
 def job_answer(name: str, state: str, done: int | None = None, running: int | None = None) -> dict[str, Any]:
     answer: dict[str, Any] = {"id": name, "tide": "withdrawn" if state == "cancelled" else state}
     if done is not None:
--- a/tidebend/provisioning/__init__.py
+++ b/tidebend/provisioning/__init__.py
@@ -79,6 +79,9 @@
                    and offer.zone in offer.type.zones and want.spec.zone in (None, offer.zone)
                    and want.zone_room(offer.zone) > 0 and not (want.keeps_off_gpus and offer.type.gpus > 0)]
         boot_s = min((offer.type.boot_s for offer in allowed), default=0.0)
+        ready_in = max(0.0, want.not_before - now)
+        if ready_in > boot_s:
+            continue  # it waits for others, and a machine would be up before they are done
         missing = min(_side_by_side(want, now), want.headroom, want.waiting)
         slack = max(0.0, want.value.soft - now - WRONG_BY * want.estimate) if not want.service else 0.0
         fitting = {kind.name for kind in {capacity.type for capacity in capacities}
@@ -92,7 +95,7 @@
             if (capacity.spot and not want.spec.spot) or want.spec.zone not in (None, capacity.zone):
                 continue
             # what becomes free before the tasks must begin at the latest, or before a new machine could be up
-            room = capacity.room_by(max(slack, boot_s if not want.service else 0.0))
+            room = capacity.room_by(max(slack, ready_in, boot_s if not want.service else 0.0))
             tasks = min(missing, times_fit(room, need), want.zone_room(capacity.zone))
             if tasks > 0:
                 capacity.take(need, tasks)
--- a/tidebend/service/__init__.py
+++ b/tidebend/service/__init__.py
@@ -10,16 +10,19 @@
 from typing import Any
 
 from tidebend import protocol
-from tidebend.bookkeeping.jobs import JobBook
+from tidebend.bookkeeping.book import JobBook
+from tidebend.bookkeeping.jobs import HEAD, JOB
 from tidebend.bookkeeping.machines import Fleet
-from tidebend.coordination import BLOCK, Coordinator, PeerLink, block_of
+from tidebend.bookkeeping.parts import PART
+from tidebend.coordination import Coordinator, PeerLink, block_of
+from tidebend.coordination.formats import FORMAT, Formats
 from tidebend.service.ledger import Ledger
 from tidebend.service.planner import Planner
 from tidebend.service.rentals import Rentals
 from tidebend.service.users import Users
 from tidebend.service.workers import Dispatcher, Workers
 from tidebend.settings import Settings
-from tidebend.storage import LIVE, Mirror, StateClient
+from tidebend.storage import FINAL, Mirror, StateClient
 from tidebend.transport import HttpClient, Reply, Server
 
 log = logging.getLogger("service")
@@ -32,22 +35,24 @@
     def __init__(self, settings: Settings, connect: Callable[..., HttpClient] = HttpClient) -> None:
         self.settings = settings
         lock = threading.RLock()
-        self.state = StateClient(settings.state, settings.state_rps, settings.state_write_rps,
-                                 settings.controllers, max(0.6, settings.controller_lease_s / 4.0), connect)
+        self.state = StateClient(settings.state, settings.state_limits, settings.controllers,
+                                 max(0.6, settings.controller_lease_s / 4.0), connect)
         self.book = JobBook(lock, KEEP_FINALS)
         self.mirror = Mirror(self.state, self._changed, lock, watch_s=settings.lease_s)
         self.fleet = Fleet()
         self.dispatcher = Dispatcher(settings, self.book, self.fleet, lambda: self.planner.wake(), connect)
-        self.coordinator = Coordinator(settings, self.state, self.mirror, self.dispatcher.took_up)
-        self.ledger = Ledger(settings, self.state, self.mirror, self.book)
+        self.formats = Formats(settings, self.state, self.mirror)
+        self.coordinator = Coordinator(settings, self.state, self.mirror, self.dispatcher.took_up, self.formats)
+        self.ledger = Ledger(self.state, self.mirror, self.book, self.formats, settings.state_limits)
         self.planner = Planner(settings, self.coordinator, self.book, self.fleet, self.ledger, self._types,
                                self.dispatcher.send)
         self.link = PeerLink(settings, self.news, self.coordinator.told)
         self.dispatcher.coordinator, self.dispatcher.link = self.coordinator, self.link
         self.rentals = Rentals(settings, self.coordinator, self.link, self.book, self.fleet, self.ledger,
                                self.planner, connect)
-        self.users = Users(settings, self.state, self.mirror, self.book, self.ledger, self._types,
+        self.users = Users(settings, self.state, self.mirror, self.book, self.ledger, self.formats, self._types,
                            self.planner.wake)
+        self.planner.look_up = self.users.look_up
         self.workers = Workers(settings, self.state, self.book, self.fleet, self.coordinator, self.planner.wake)
 
     def _types(self) -> dict[str, protocol.MachineType]:
@@ -55,10 +60,15 @@
 
     def _changed(self, key: str, value: Any, version: int) -> None:
         self.book.on_change(key, value, version)
-        if key.startswith(BLOCK) or not key.startswith(LIVE + "job/"):
-            self.coordinator.wake.set()
-        else:
+        if key == FORMAT and self.formats.pipelines:
+            # from now on the limits that are to come may be in force
+            self.state.keep_within(self.settings.state_next)
+            self.ledger.keep_within(self.settings.state_next)
+            log.info("format %d is in force", self.formats.version)
+        if key.startswith((JOB, HEAD, PART, FINAL)):
             self.planner.wake()
+        else:
+            self.coordinator.wake.set()
 
     def _contact(self) -> float:
         """Time of day of the last contact with the state service."""
--- a/tidebend/service/ledger.py
+++ b/tidebend/service/ledger.py
@@ -4,14 +4,20 @@
 
 import json
 import logging
+import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
-from tidebend.bookkeeping.jobs import JOB, TEAM, Job, JobBook, Usage
+from tidebend.bookkeeping.book import JobBook, pack_final
+from tidebend.bookkeeping.jobs import HEAD, Job
+from tidebend.bookkeeping.parts import PART, Parts, part_size
+from tidebend.bookkeeping.tasksets import members
+from tidebend.bookkeeping.teams import TEAM, Usage
+from tidebend.coordination.formats import FORMAT, Formats
 from tidebend.protocol import Write
-from tidebend.settings import Settings
-from tidebend.storage import FINAL, Conflict, Mirror, NoSuchLease, StateClient, Unavailable, Unknown
+from tidebend.settings import Limits
+from tidebend.storage import FINAL, Conflict, Mirror, NoSuchLease, Refused, StateClient, Unavailable, Unknown
 
 log = logging.getLogger("ledger")
 
@@ -34,6 +40,21 @@
     conditions: dict[str, int] = field(default_factory=dict)
 
 
+@dataclass
+class _Draft:
+    """What an edit comes to."""
+
+    job: Job  # as it will be
+    checks: dict[str, int]
+    writes: list[Write]
+    usage: Usage  # the team's, as it will be
+    bytes: int = 0
+
+
+class _TooLarge(Exception):
+    """The record can't hold it; it has to be split first, if it can be."""
+
+
 @dataclass
 class _Batch:
     checks: dict[str, int] = field(default_factory=dict)
@@ -44,19 +65,59 @@
     bytes: int = 0
 
 
+def _part_key(job: str, number: int) -> str:
+    return f"{PART}{job}/{number}"
+
+
 class Ledger:
-    def __init__(self, settings: Settings, state: StateClient, mirror: Mirror, book: JobBook) -> None:
+    def __init__(self, state: StateClient, mirror: Mirror, book: JobBook, formats: Formats, limits: Limits) -> None:
         self.state = state
         self.mirror = mirror
         self.book = book
-        self.value_bytes = settings.state_value_bytes
-        # one job alone may need three (its record, its final one, its team's); a transaction must fit our budget
-        self.most_writes = max(3, min(settings.state_txn_ops, int(0.5 * state.writes_per_s)))
-        self.most_checks = 4 * settings.state_txn_ops
+        self.formats = formats
+        self.keep_within(limits)
+
+    def keep_within(self, limits: Limits) -> None:
+        self.value_bytes = limits.value_bytes
+        # The end of a job alone may need four (its record, its last part's, its final one, its team's), without parts
+        # three; a transaction must fit our budget.
+        self.most_writes = max(min(4, limits.txn_ops), min(limits.txn_ops, int(0.5 * self.state.writes_per_s)))
+        self.most_checks = 4 * limits.txn_ops
+
+    # Sizes
+
+    def can_be_split(self, job: Job) -> bool:
+        """Whether a record may become a head with parts; a gang, which starts whole, only if it must."""
+        return self.formats.pipelines and job.parts is None and job.spec.tasks > (
+            part_size(self.value_bytes) if job.spec.kind == "gang" else 1)
 
-    def fits(self, job: Job) -> bool:
-        """Whether a record with these claims leaves room for what is still to come."""
-        return packed_bytes(job.pack()) <= CLAIMS_SHARE * self.value_bytes
+    def fits(self, job: Job, before: Job | None = None) -> bool:
+        """Whether records with these claims leave room for what is still to come; `before`: what it was made from."""
+        if job.parts and before is not None:
+            sizes = [packed_bytes(job.part_of(number, before).pack(number * job.parts.size))
+                     for number in job.touched(before)]
+            return max(sizes, default=0) <= CLAIMS_SHARE * self.value_bytes
+        return self.can_be_split(job) or packed_bytes(job.pack()) <= CLAIMS_SHARE * self.value_bytes
+
+    def new_job(self, job: Job) -> Job:
+        """A job in the shape in which it will be kept."""
+        size = part_size(self.value_bytes)
+        return replace(job, parts=Parts(size)) if self.formats.pipelines and job.spec.tasks > size else job
+
+    def never_fits(self, job: Job) -> str | None:
+        """Why a job can't be kept or started with records as large as they may be, if it can't."""
+        if packed_bytes(job.pack()) > 0.5 * self.value_bytes:
+            return "its description is too long for a record"
+        if job.parts:
+            parts = -(-job.spec.tasks // job.parts.size)
+            # a gang's start writes all its parts, the head and the team's record; a service's compares all parts
+            if job.spec.kind == "gang" and parts > self.most_writes - 2:
+                return "more tasks than can be started at once"
+            if job.spec.kind == "service" and parts > self.most_checks - 4:
+                return "more replicas than can be kept"
+        return None
+
+    # Changes
 
     def change(self, name: str, make: Callable[[Job, Usage], Job | None], conditions: dict[str, int],
                patience: float = 1.0) -> Job | None:
@@ -71,9 +132,10 @@
         """
         changed: dict[str, Job] = {}
         left = list(edits)
+        large: list[Edit] = []
         most = self.most_writes
         while left and tries:
-            batch, left = self._gather(left, most)
+            batch, left = self._gather(left, most, large)
             if not batch.writes:
                 continue
             writes = list(batch.writes.values())
@@ -90,6 +152,13 @@
                 if left and not self.mirror.barrier(self.state.timeout, "claim"):
                     raise Unavailable("no read after a conflict") from conflict
                 continue
+            except Refused:
+                # the state service takes less than we were told: one at a time; what is too large by itself must wait
+                tries -= 1
+                if len(batch.edits) > 1:
+                    left = batch.edits + left
+                    most = 1
+                continue
             except Unknown:
                 # may have happened, or may still: a read shows which, and a later arrival fails on its conditions
                 self.mirror.barrier(self.state.timeout, "claim")
@@ -98,9 +167,12 @@
                 raise Unavailable("no such lease") from error
             self.mirror.apply([(key, value, revision) for key, value, _ in writes])
             changed.update(batch.jobs)
+        for edit in large:
+            if tries and self._split(edit.job, patience):
+                changed.update(self.change_all([edit], patience, tries))
         return changed
 
-    def _gather(self, edits: list[Edit], most: int) -> tuple[_Batch, list[Edit]]:
+    def _gather(self, edits: list[Edit], most: int, large: list[Edit]) -> tuple[_Batch, list[Edit]]:
         """As many edits as one transaction holds, and the rest."""
         batch = _Batch()
         for number, edit in enumerate(edits):
@@ -111,37 +183,177 @@
                 team = job.spec.team
                 usage = batch.teams.get(team) or self.book.team(team)
             new = edit.make(job, usage)
-            if new is None or new == job:
+            if new is None:
                 continue
-            checks = {JOB + edit.job: job.version, **edit.conditions}
-            over = not new.claims and (new.cancelled or new.complete)
-            if over:
-                after = usage.without(job.spec, job.charged)
-                writes: list[Write] = [
-                    (JOB + edit.job, None, None),
-                    (FINAL + edit.job, "done" if new.complete else "cancelled", None)]
-                size = 0
-            else:
-                after = usage.plus(new.spec, new.charged - job.charged)
-                value = new.pack()
-                size = packed_bytes(value)
-                if size > self.value_bytes:
+            try:
+                draft = self._draft(job, new, usage)
+            except _TooLarge:
+                if self.can_be_split(job):
+                    large.append(edit)
+                else:
                     log.error("job %s: its record would be too long", edit.job)
-                    continue
-                writes = [(JOB + edit.job, value, None)]
-            charged = after.charged != usage.charged
+                continue
+            if draft is None:
+                continue
+            checks = {**draft.checks, **edit.conditions}
+            writes = list(draft.writes)
+            charged = draft.usage.charged != usage.charged
             if charged:
                 checks[TEAM + team] = usage.version
-                writes.append((TEAM + team, after.pack(), None))
+                writes.append((TEAM + team, draft.usage.pack(), None))
             if batch.writes and (len({*batch.writes, *(key for key, _, _ in writes)}) > most
                                  or len(batch.checks.keys() | checks.keys()) > self.most_checks
-                                 or batch.bytes + size > MOST_BYTES):
+                                 or batch.bytes + draft.bytes > MOST_BYTES):
                 return batch, edits[number:]
             batch.checks.update(checks)
             batch.writes.update((write[0], write) for write in writes)
             if charged:
-                batch.teams[team] = after
-            batch.jobs[edit.job] = new
+                batch.teams[team] = draft.usage
+            batch.jobs[edit.job] = draft.job
             batch.edits.append(edit)
-            batch.bytes += size
+            batch.bytes += draft.bytes
         return batch, []
+
+    def _draft(self, job: Job, new: Job, usage: Usage) -> _Draft | None:
+        """The writes that make one job of another, but for its team's record; None if there is nothing to write."""
+        if not new.claims and (new.cancelled or new.complete):
+            return self._over(job, new, usage)
+        if new == job:
+            return None
+        if job.parts:
+            return self._in_parts(job, new, usage)
+        value = new.pack()
+        size = packed_bytes(value)
+        grows = new.running > job.running
+        if size > self.value_bytes or (grows and self.can_be_split(job) and size > CLAIMS_SHARE * self.value_bytes):
+            raise _TooLarge
+        writes: list[Write] = [(new.key, value, None)]
+        return _Draft(new, {job.key: job.version}, writes, usage.plus(new.spec, new.charged - job.charged), size)
+
+    def _over(self, job: Job, new: Job, usage: Usage) -> _Draft | None:
+        """The last transaction of a job that is done or cancelled. Told to be cancelled, it stays so."""
+        known = self.book.part_versions(job.id)
+        if job.parts and job.parts.unknown:
+            return None
+        room = self.most_writes - 3
+        if len(known) > max(0, room):
+            return self._closed(job, new, list(known)[:self.most_writes - 1], usage)
+        parts = [_part_key(job.id, number) for number in known]
+        final = pack_final("cancelled" if new.cancelled else "done", time.time(), not self.formats.pipelines)
+        writes: list[Write] = [(job.key, None, None), (FINAL + job.id, final, None)]
+        writes += [(key, None, None) for key in parts]
+        return _Draft(new, {job.key: job.version, **dict(zip(parts, known.values(), strict=True))}, writes,
+                      usage.without(job.spec, job.charged))
+
+    def _closed(self, job: Job, new: Job, numbers: list[int], usage: Usage) -> _Draft:
+        """Parts of a job that is over are deleted ahead of it: they are more than one transaction takes."""
+        known = self.book.part_versions(job.id)
+        checks = {job.key: job.version, **{_part_key(job.id, number): known[number] for number in numbers}}
+        writes: list[Write] = [(_part_key(job.id, number), None, None) for number in numbers]
+        if job.parts:
+            # what ends with this edit counts as ended, or the team's record would keep it for ever
+            rows = tuple((number, new.part_of(number, job) if number in numbers else part)
+                         for number, part in job.parts.rows)
+            job = replace(job, cancelled=new.cancelled, parts=replace(job.parts, rows=rows)).without_parts(
+                [number for number in numbers if job.parts.opened >> number & 1])
+            writes.append((job.key, job.pack(), None))
+        return _Draft(job, checks, writes, usage)
+
+    def _in_parts(self, job: Job, new: Job, usage: Usage) -> _Draft | None:
+        """Of a change over many parts, the first few are written; the others are made again at the next event."""
+        parts = job.parts
+        assert parts is not None
+        known = self.book.part_versions(job.id)
+        numbers = new.touched(job)
+        whole = job.spec.kind == "gang" and new.running > job.running
+        if not whole:
+            numbers = numbers[:max(1, self.most_writes - 2)]  # the head's record and the team's come on top
+        head = replace(new, parts=parts)
+        rows = dict(parts.rows)
+        checks = {job.key: job.version}
+        writes: list[Write] = []
+        over = []
+        size = 0
+        for number in numbers:
+            key = _part_key(job.id, number)
+            checks[key] = known.get(number, 0)
+            part = new.part_of(number, job)
+            if new.is_over(number, part):
+                over.append(number)
+                if number in known:
+                    writes.append((key, None, None))
+            else:
+                value = part.pack(number * parts.size)
+                bytes_ = packed_bytes(value)
+                if bytes_ > self.value_bytes:
+                    log.error("job %s: a part's record would be too long", job.id)
+                    return None
+                size += bytes_
+                writes.append((key, value, None))
+            rows[number] = part
+        opened = parts.opened | sum(1 << number for number in numbers if number not in over)
+        head = replace(head, parts=replace(parts, opened=opened | sum(1 << number for number in over),
+                                           rows=tuple(sorted(rows.items()))))
+        if over:
+            head = head.without_parts(over)
+        assert head.parts is not None
+        if head.pack() != job.pack():
+            writes.append((head.key, head.pack(), None))
+            size += packed_bytes(head.pack())
+        if job.spec.kind != "array":
+            # the rules over the whole job were checked against all its parts
+            checks.update((_part_key(job.id, number), part.version) for number, part in parts.rows)
+        head = head.assembled(dict(head.parts.rows))
+        if not writes or len(writes) + 1 > max(self.most_writes, 4) or len(checks) + 3 > self.most_checks:
+            return None
+        return _Draft(head, checks, writes, usage.plus(head.spec, head.charged - job.charged), size)
+
+    def _split(self, name: str, patience: float) -> bool:
+        """Move a job from one record to a head with parts: the parts first, to which nothing refers yet, then the head.
+
+        Each step is conditional on the record that is split, and each part says from which version of it it was
+        made: so the steps may be interrupted anywhere, and be made by several controllers. Records as the version
+        before pipelines wrote them come here once what is to be written no longer fits, and not before.
+        """
+        with self.book.lock:
+            job = self.book.get(name)
+            if job is None or job.parts:
+                return job is not None
+            sources = self.book.part_sources(name)
+        size = min(part_size(self.value_bytes), job.spec.tasks)
+        while True:
+            whole = replace(job, parts=Parts(size, ended=job.ended, started=job.started))
+            parts = whole.parts
+            assert parts is not None
+            rows, closed = {}, 0
+            for number in parts.numbers(whole.done | whole.claimed):
+                part = replace(whole.part_of(number, job), source=job.version, started=job.started)
+                if whole.is_over(number, part):
+                    closed |= 1 << number
+                else:
+                    rows[number] = part
+            largest = max((packed_bytes(part.pack(number * size)) for number, part in rows.items()), default=0)
+            if size == 1 or largest <= CLAIMS_SHARE * self.value_bytes:
+                break
+            size = max(1, size // 2)
+        head = replace(whole, parts=replace(parts, opened=sum(1 << number for number in rows), closed=closed))
+        if head.cancelled:
+            head = replace(head, parts=replace(head.parts, closed=0))
+        writes: list[Write] = [(_part_key(name, number), part.pack(number * parts.size), None)
+                               for number, part in rows.items() if sources.get(number) != job.version]
+        try:
+            while writes:
+                self._step({job.key: job.version}, writes[:self.most_writes], patience)
+                writes = writes[self.most_writes:]
+            moved: list[Write] = [(job.key, None, None)] if job.key != head.key else []
+            self._step({job.key: job.version, FORMAT: self.mirror.get(FORMAT)[1], **(
+                {head.key: 0} if moved else {})}, [*moved, (HEAD + name, head.pack(), None)], patience)
+        except Conflict:
+            self.mirror.barrier(self.state.timeout, "claim")
+            return False
+        log.info("job %s is kept in %d parts from now on", name, len(rows) + len(list(members(closed))))
+        return True
+
+    def _step(self, checks: dict[str, int], writes: list[Write], patience: float) -> None:
+        revision = self.state.transact(checks, writes, "claim", patience)
+        self.mirror.apply([(key, value, revision) for key, value, _ in writes])
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -2,31 +2,38 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import math
 import threading
 import time
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from functools import partial
 
-from tidebend.bookkeeping.jobs import Claim, Job, JobBook, Usage
+from tidebend.bookkeeping.book import JobBook
+from tidebend.bookkeeping.claims import Claim
+from tidebend.bookkeeping.jobs import Job
 from tidebend.bookkeeping.machines import Fleet, Machine
 from tidebend.bookkeeping.tasksets import lowest, members
+from tidebend.bookkeeping.teams import Usage
 from tidebend.coordination import Coordinator, Grant, block_of
 from tidebend.protocol import PRIORITIES, JobSpec, MachineType
 from tidebend.scheduling import (
     Amount,
+    Demand,
     Place,
     Placement,
     Timeline,
     Want,
     allowed_on,
+    demands,
     is_reserved,
     largest_share,
     map_tasks,
     need_of,
+    own_demand,
     times_fit,
     value_of,
 )
@@ -109,6 +116,8 @@
         self.gather_s = 0.2 * settings.lease_s
         # an array whose tasks follow one another as room comes up claims no more often than this: each time costs
         self.claim_pause_s = 0.5 * self.gather_s
+        self.look_up: Callable[[list[str], str], None] = lambda names, kind: None
+        self._demands: dict[str, Demand] = {}  # of jobs that others need, and of those
         self._rest_until = 0.0  # steady time
         self._claimed_at: dict[str, float] = {}  # job -> steady time of our last claim for it
         self.turn_s = 0.1 * settings.report_s
@@ -140,6 +149,10 @@
         Planning rests for longer the longer it takes, on a large block or a slow processor, lest it starve the
         answers to workers and users. Ends don't rest with it: users expect to hear of them.
         """
+        unresolved = self.book.unresolved()
+        if unresolved:
+            with contextlib.suppress(Unavailable, Unknown):
+                self.look_up(unresolved, "claim")
         self.settle()
         try:
             began = time.monotonic()
@@ -160,11 +173,12 @@
                 if machine.unsettled and block_of(machine.zone) == grant.block:
                     self._ends_on(machine, grant, ends)
         unwanted = set()
+        leads = self.coordinator.term is not None  # of three that would write the same, two would fail
         for job in self.book.live():
             if job.cancelled:
                 unwanted.update(claim.machine for claim in job.claims)
-            if not job.claims and (job.cancelled or job.complete):
-                ends.setdefault(job.id, _Ends())  # its final record is missing
+            if leads and not job.claims and (job.cancelled or job.complete):
+                ends.setdefault(job.id, _Ends())  # its final record is missing: cancelled with what it waited for
         self.send(unwanted)
         self._resolve_doubts()
         self._ends = ends
@@ -212,7 +226,7 @@
 
     def _without(self, job: Job, _: Usage, end: _Ends) -> Job:
         new = job.without(end.ended, end.done)
-        if end.done and not self.ledger.fits(new) and not (new.complete or new.cancelled):
+        if end.done and not job.parts and not self.ledger.fits(new) and not (new.complete or new.cancelled):
             # the numbers of the done tasks are too scattered for a record: results are kept by the platform, so that
             # a task started again is done at once
             scattered = job.without(end.ended, 0)
@@ -362,6 +376,52 @@
 
     # Waiting work
 
+    def _own_demand(self, job: Job, estimate: float) -> Demand:
+        return own_demand(job.spec, job.submitted, estimate, self.settings.late_aims.get(job.spec.job_class, 1.0))
+
+    def _step_s(self, spec: JobSpec, estimate: float) -> float:
+        """How long a step of a pipeline takes once it is ready: its start is reported and so is its end, and its
+        image may have to be fetched."""
+        fetch = min((kind.fetch_s(spec.image_gb) for kind in self.types().values() if kind.fits(spec)), default=0.0)
+        return estimate + fetch + self.settings.report_s
+
+    def weigh(self) -> None:
+        """What the jobs of pipelines are asked for by those that need them, however late these came."""
+        after = self.book.waiters()
+        own: dict[str, Demand] = {}
+        length: dict[str, float] = {}
+        for name in {*after, *(waiter for waiters in after.values() for waiter in waiters)}:
+            job = self.book.get(name)
+            if job is not None and not job.cancelled:
+                estimate = self.estimates.corrected(job.spec)
+                own[name] = self._own_demand(job, estimate)
+                length[name] = self._step_s(job.spec, estimate)
+        self._demands = demands(own, length, after)
+
+    def soon(self, now: float, clock: float) -> list[Want]:
+        """Work that waits for others whose last tasks are running, with the time at which it will be ready."""
+        wants = []
+        after = self.book.waiters()
+        for name in {waiter for waiters in after.values() for waiter in waiters}:
+            job = self.book.get(name)
+            if job is None or not job.held or job.cancelled:
+                continue
+            left = 0.0
+            for other in job.awaits:
+                if other not in after or self.book.final(other) is not None:
+                    continue
+                before = self.book.get(other)
+                if before is None or before.pending or not before.claims or before.spec.kind == "service":
+                    break
+                estimate = self.estimates.corrected(before.spec)
+                left = max([left, *(estimate - (clock - claim.at) for claim in before.claims)])
+            else:
+                want = self.want(replace(job, held=False, ready=clock + left), now, clock)
+                if want is not None:
+                    want.not_before = max(want.not_before, clock + left)
+                    wants.append(want)
+        return wants
+
     def want(self, job: Job, now: float, clock: float) -> Want | None:
         pending = job.pending
         if not pending:
@@ -386,7 +446,8 @@
             within = usage.cpus + spec.cpus <= team.cpus + 1e-6 and (
                 spec.gpus <= 0 or usage.gpus + spec.gpus <= team.gpus + 1e-6)
         # the steady clock and the time of day meet here: values are of the time of day
-        value = value_of(spec, job.submitted, estimate, within)
+        demand = self._demands.get(job.id) or self._own_demand(job, estimate)
+        value = value_of(demand, job.since, estimate, within)
         setback = self.setbacks.get(job.id)
         return Want(job.id, spec, value, estimate, pending.bit_count(), job.per_zone(), headroom,
                     not service and is_reserved(value, clock),
@@ -420,6 +481,7 @@
             # values are of the time of day, and so are the slots
             place.timeline.times = [time_ - now + clock for time_ in place.timeline.times]
             place.until += clock - now
+        self.weigh()
         blocks = sorted(self.coordinator.table())
         wants = []
         mine = {block_of(place.zone) for place, _, _ in places.values()}
@@ -457,7 +519,8 @@
         for name in changed:
             self._ends_since.pop(name, None)
             self._ends.pop(name, None)
-            self._claimed_at[name] = now
+            if changed[name].running >= sum(placement.tasks for placement in chosen[name]):
+                self._claimed_at[name] = now  # else more of its parts follow at once
             log.debug("claimed for %s: %s", name, [(p.machine, p.tasks) for p in chosen[name]])
         self.send({placement.machine for name in changed for placement in chosen[name]})
 
@@ -474,7 +537,7 @@
         gang = spec.kind == "gang"
         if gang and (job.claims or sum(p.tasks for p in group) != pending.bit_count()):
             return None
-        want = Want(job.id, spec, value_of(spec, 0, 1), 1, pending.bit_count(), job.per_zone())
+        want = Want(job.id, spec, value_of(Demand(0), 0, 1), 1, pending.bit_count(), job.per_zone())
         claims = []
         for placement in group:
             machine = places[placement.machine][1]
@@ -490,11 +553,11 @@
         if not claims or (gang and pending):
             return None
         new = job.with_claims(claims)
-        while not gang and len(claims) > 1 and not self.ledger.fits(new):
+        while not gang and len(claims) > 1 and not self.ledger.fits(new, job):
             # a record holds only so many claims: the rest follows as these end
             claims = claims[:len(claims) // 2]
             new = job.with_claims(claims)
-        return new if gang or not job.claims or self.ledger.fits(new) else None
+        return new if gang or not job.claims or self.ledger.fits(new, job) else None
 
     # Room for what may preempt
 
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -12,9 +12,11 @@
 from typing import Any
 
 from tidebend import protocol
-from tidebend.bookkeeping.jobs import Job, JobBook, Usage
+from tidebend.bookkeeping.book import JobBook
+from tidebend.bookkeeping.jobs import Job
 from tidebend.bookkeeping.machines import Fleet, Machine
 from tidebend.bookkeeping.tasksets import members
+from tidebend.bookkeeping.teams import Usage
 from tidebend.coordination import Coordinator, PeerLink, block_of
 from tidebend.protocol import Invalid, ListedMachine, MachineType
 from tidebend.provisioning import Capacity, Offer, to_rent
@@ -103,8 +105,7 @@
     def _bury(self, names: set[str]) -> None:
         """The cloud has confirmed that machines are gone, and with them all that they ran or might have started."""
         def edit(job: Job, _: Usage) -> Job:
-            return job.without({(c.machine, c.session, c.attempt): c.tasks for c in job.claims
-                                if c.machine in names}, 0)
+            return job.without(job.places(names), 0)
 
         jobs = sorted({job.id for name in names for job, _ in self.book.on_machine(name)})
         try:
@@ -391,6 +392,7 @@
                 ready = max(1.0, kind.boot_s - (now - known.since))
             capacities.append(Capacity(kind, known.zone, known.spot, tuple(free), ready, returns))
         wants = [want for want in (self.planner.want(job, now, clock) for job in self.book.live()) if want]
+        wants += self.planner.soon(now, clock)
         offers = [Offer(kind, zone, spot) for kind in self.types.values() for zone in kind.zones if zone not in cut
                   for spot in (True, False) if self._shortage.get(Offer(kind, zone, spot), 0.0) < now]
         rank: dict[str, int] = {}
--- a/tidebend/service/users.py
+++ b/tidebend/service/users.py
@@ -9,9 +9,11 @@
 from dataclasses import replace
 
 from tidebend import protocol
-from tidebend.bookkeeping.jobs import JOB, Job, JobBook
+from tidebend.bookkeeping.book import JobBook, unpack_final
+from tidebend.bookkeeping.jobs import HEAD, JOB, Job
+from tidebend.coordination.formats import FORMAT, Formats
 from tidebend.protocol import Invalid, JobSpec, MachineType
-from tidebend.service.ledger import Ledger
+from tidebend.service.ledger import Ledger, packed_bytes
 from tidebend.settings import Settings
 from tidebend.storage import FINAL, Conflict, Mirror, NoSuchLease, StateClient, Unavailable, Unknown
 from tidebend.transport import BadRequest, Reply
@@ -19,6 +21,10 @@
 log = logging.getLogger("users")
 
 LATER = {"Retry-After": "1"}
+# a poll looks up at most so many jobs that are long over before it is answered; others find theirs looked up then
+MOST_LOOKUPS = 4
+# the names of what a job waits for take no more than this share of its record
+AWAITS_SHARE = 0.35
 
 
 def unsure(text: str) -> Reply:
@@ -34,12 +40,13 @@
 
 class Users:
     def __init__(self, settings: Settings, state: StateClient, mirror: Mirror, book: JobBook, ledger: Ledger,
-                 types: Callable[[], dict[str, MachineType]], wake: Callable[[], None]) -> None:
+                 formats: Formats, types: Callable[[], dict[str, MachineType]], wake: Callable[[], None]) -> None:
         self.settings = settings
         self.state = state
         self.mirror = mirror
         self.book = book
         self.ledger = ledger
+        self.formats = formats
         self.types = types
         self.wake = wake
         # users wait 2 s for an answer to a poll
@@ -60,17 +67,32 @@
         if final is None:
             if not self.mirror.loaded.is_set() or not self.mirror.barrier(self.read_s):
                 raise Unavailable("no state read")
+            self.look_up(self.book.unresolved(name), "poll")
             job = self.book.get(name)
             if job is not None:
                 return self._answer(job)
             final = self.book.final(name)
         if final is None:
-            final, _ = self.state.get(FINAL + name)
-            if final is None:
+            value, _ = self.state.get(FINAL + name)
+            if value is None:
                 return None
-            self.book.remember_final(name, final)
+            self.book.remember_final(name, value)
+            final = unpack_final(value)[0]
         return Reply(200, protocol.job_answer(name, final))
 
+    def look_up(self, names: list[str], kind: str) -> None:
+        """Learn how jobs ended that others wait for.
+
+        Guards against an older answer after a restart: a job is cancelled with what it waits for, and that may be
+        long over, so that only its final record tells.
+        """
+        for name in names[:MOST_LOOKUPS]:
+            value, _ = self.state.get(FINAL + name, kind)
+            if value is not None:
+                self.book.remember_final(name, value)
+        if len(names) > MOST_LOOKUPS:
+            raise Unavailable("there is more to look up")
+
     def _undecidable(self, spec: JobSpec) -> str | None:
         """Why a job can never run, if it can't."""
         team = self.settings.teams.get(spec.team)
@@ -95,19 +117,29 @@
             spec = protocol.parse_job(body)
             if not self.types() or not self.mirror.loaded.is_set():
                 return unsure("not ready to decide")
-            never = self._undecidable(spec)
-            if never is not None:
+            awaits = protocol.parse_awaits(body)
+            if awaits and not self.formats.pipelines:
+                # a process of the version before would start it at once
+                return unsure("not all controllers know pipelines yet")
+            job = self.ledger.new_job(Job(name, 0, spec, came, awaits=awaits))
+            if awaits and packed_bytes(awaits) > AWAITS_SHARE * self.ledger.value_bytes:
+                return Reply(400, {"error": "awaits names more jobs than a record holds"})
+            never = (self._undecidable(spec) or (self.formats.pipelines and self.ledger.never_fits(job))
+                     or self._never_accepted(awaits))
+            if never:
                 return self.find(name) or Reply(422, {"error": never})
-            job = Job(name, 0, spec, came)
             value = job.pack()
+            # a job that is kept has one record or the other
+            conditions = {JOB + name: 0, HEAD + name: 0, FINAL + name: 0}
+            if job.key != JOB + name:
+                conditions[FORMAT] = self.mirror.get(FORMAT)[1]
             try:
-                revision = self.state.transact({JOB + name: 0, FINAL + name: 0}, [(JOB + name, value, None)],
-                                               "submit", patience=0.3)
+                revision = self.state.transact(conditions, [(job.key, value, None)], "submit", patience=0.3)
             except Conflict:
                 return self.find(name) or unsure("try again")
             except Unknown:
                 return self.find(name) or unsure("the state service didn't answer")
-            self.mirror.apply([(JOB + name, value, revision)])
+            self.mirror.apply([(job.key, value, revision)])
         except Invalid as error:
             return Reply(400, {"error": str(error)})
         except (Unavailable, Unknown, NoSuchLease) as error:
@@ -115,7 +147,18 @@
                 return Reply(429, {"error": "too many requests"}, LATER)
             return unsure("the state service can't be reached")
         self.wake()
-        return Reply(201, protocol.job_answer(name, "queued"))
+        return Reply(201, protocol.job_answer(name, self.book.final(name) or "queued"))
+
+    def _never_accepted(self, names: tuple[str, ...]) -> str | None:
+        """Whether a job that is to be waited for can't be; that it was accepted holds for ever, its absence needs a
+        read begun after the request came."""
+        for name in names:
+            job = self.book.get(name)
+            if job is not None and job.spec.kind == "service":
+                return f"awaits: {name} is a service"
+            if job is None and self.book.final(name) is None and self.find(name) is None:
+                return f"awaits: {name} was never accepted"
+        return None
 
     def poll(self, name: str) -> Reply:
         if not protocol.is_job_id(name):
--- a/tidebend/service/workers.py
+++ b/tidebend/service/workers.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from tidebend import protocol
-from tidebend.bookkeeping.jobs import JobBook
+from tidebend.bookkeeping.book import JobBook
 from tidebend.bookkeeping.machines import Fleet, orders
 from tidebend.coordination import Coordinator, Grant, PeerLink, block_of
 from tidebend.protocol import Invalid
--- a/tidebend/settings.py
+++ b/tidebend/settings.py
@@ -34,6 +34,16 @@
         )
 
 
+@dataclass(frozen=True)
+class Limits:
+    """What the state service takes."""
+
+    rps: float
+    write_rps: float
+    value_bytes: int
+    txn_ops: int
+
+
 @dataclass(frozen=True)
 class Knobs:
     """The operators' own settings. All are ratios."""
@@ -61,15 +71,14 @@
     clock_off_s: float
     teams: dict[str, Team]
     start_aims: dict[str, float]
+    late_aims: dict[str, float]  # class -> the greatest multiple of a deadline within which its jobs still count
     report_s: float
     lease_s: float
     gang_wait_s: float
     gang_peer_s: float
     cancel_s: float
-    state_rps: float
-    state_write_rps: float
-    state_value_bytes: int
-    state_txn_ops: int
+    state_limits: Limits
+    state_next: Limits  # the smaller of these and those that are announced for some moment after an upgrade
     cloud_rps: float
     list_lag_s: float
     max_sockets: int
@@ -172,13 +181,27 @@
     return read_settings(table, _knobs(knobs_path) if knobs_path else Knobs())
 
 
+def _next_limits(state: _Reader, now: Limits) -> Limits:
+    """`state.next` tells of limits to come; what it leaves out stays as it is."""
+    if "next" not in state.table:
+        return now
+    table = state.table_of("next")
+    return Limits(min(now.rps, table.number("rps", 0.001, default=now.rps)),
+                  min(now.write_rps, table.number("write_rps", 0.001, default=now.write_rps)),
+                  min(now.value_bytes, int(table.number("value_kb", 0.1, default=now.value_bytes / 1024) * 1024)),
+                  min(now.txn_ops, int(table.number("txn_ops", 2, default=now.txn_ops))))
+
+
 def read_settings(table: dict[str, Any], knobs: Knobs) -> Settings:
     # The platform's file has words of its own; they end here.
     top = _Reader(table)
+    name = top.text("member")
     outside = top.table_of("outside")
     deployment = top.table_of("deployment")
     workers = deployment.table_of("workers")
     state = deployment.table_of("state")
+    limits = Limits(state.number("rps", 0.001), state.number("write_rps", 0.001),
+                    int(state.number("value_kb", 0.1) * 1024), int(state.number("txn_ops", 2)))
     cloud = deployment.table_of("cloud")
     teams = {}
     for row in deployment.tables("teams"):
@@ -187,11 +210,15 @@
                     row.number("cpus_max", default=0.0) or None, row.number("gpus_max", default=0.0) or None)
         teams[team.name] = team
     start_aims = {}
+    late_aims: dict[str, float] = {}
     for row in deployment.tables("objectives"):
         if row.table.get("kind") == "wait" and "class" in row.table:
             start_aims[row.text("class")] = row.number("within_s")
+        if row.table.get("kind") == "deadline" and "class" in row.table:
+            name = row.text("class")
+            late_aims[name] = max(late_aims.get(name, 1.0), row.number("times", default=1.0))
     return Settings(
-        name=top.text("member"),
+        name=name,
         zone=top.text("site"),
         listen=top.address("serve_on"),
         peer_listen=top.address("peer_bind"),
@@ -203,15 +230,14 @@
         clock_off_s=deployment.number("clock_off_ms", default=0.0) / 1000.0,
         teams=teams,
         start_aims=start_aims,
+        late_aims=late_aims,
         report_s=workers.number("report_s", 0.001),
         lease_s=workers.number("lease_s", 0.001),
         gang_wait_s=workers.number("gang_wait_s"),
         gang_peer_s=workers.number("gang_peer_s"),
         cancel_s=workers.number("cancel_s"),
-        state_rps=state.number("rps", 0.001),
-        state_write_rps=state.number("write_rps", 0.001),
-        state_value_bytes=int(state.number("value_kb", 0.1) * 1024),
-        state_txn_ops=int(state.number("txn_ops", 2)),
+        state_limits=limits,
+        state_next=_next_limits(state, limits),
         cloud_rps=cloud.number("rps", 0.001),
         list_lag_s=cloud.number("list_lag_s"),
         max_sockets=int(deployment.table_of("resources").number("max_sockets", 16)),
--- a/tidebend/storage/__init__.py
+++ b/tidebend/storage/__init__.py
@@ -12,6 +12,7 @@
 
 from tidebend import protocol
 from tidebend.protocol import Write
+from tidebend.settings import Limits
 from tidebend.transport import Budget, HttpClient, NoAnswer, Unreachable
 
 log = logging.getLogger("storage")
@@ -42,6 +43,10 @@
     """A put named a lease that has ended."""
 
 
+class Refused(Unavailable):
+    """Not executed, and not to be sent again as it is: a value or the whole is larger than the service takes now."""
+
+
 # The share of a second's budget that must be left after a request of each kind. Renewals of our own lease
 # aren't held back at all. Submissions are few, and their users wait for them: they find room when claims and ends
 # don't, which may be late by a moment; polls come last.
@@ -53,20 +58,30 @@
 
 
 class StateClient:
-    def __init__(self, address: tuple[str, int], rps: float, write_rps: float, controllers: int,
+    def __init__(self, address: tuple[str, int], limits: Limits, controllers: int,
                  timeout: float, connect: Callable[..., HttpClient] = HttpClient) -> None:
         self._http = connect(address, keep=6)
         # A controller's share is more than an equal one, since the others seldom use theirs in the same second;
         # when they do, the service refuses, which is safe, and the refused back off.
-        share = min(1.0, 1.8 / controllers)
-        self._requests = Budget(rps * share)
-        self.writes_per_s = write_rps * share
-        self._writes = Budget(self.writes_per_s)
+        self._share = min(1.0, 1.8 / controllers)
+        self._controllers = controllers
+        self._requests = Budget(limits.rps * self._share)
+        self._writes = Budget(limits.write_rps * self._share)
         self._submissions = Budget(SUBMIT_SHARE * self.writes_per_s)
-        self.watch_pause_s = controllers / (WATCH_SHARE * rps)
+        self.watch_pause_s = controllers / (WATCH_SHARE * limits.rps)
         self.timeout = timeout
         self.last_contact = -1e9  # steady time at which the last answered request was sent
 
+    @property
+    def writes_per_s(self) -> float:
+        return self._writes.rate
+
+    def keep_within(self, limits: Limits) -> None:
+        self._requests.change(limits.rps * self._share)
+        self._writes.change(limits.write_rps * self._share)
+        self._submissions.change(SUBMIT_SHARE * self.writes_per_s)
+        self.watch_pause_s = self._controllers / (WATCH_SHARE * limits.rps)
+
     def _call(self, method: str, path: str, body: Any, kind: str, writes: int = 0, timeout: float = 0.0,
               patience: float = 0.0) -> tuple[int, Any]:
         deadline = time.monotonic() + patience
@@ -110,6 +125,9 @@
             raise Unknown(str(error)) from error
         if status == 400 and isinstance(answer, dict) and answer.get("error") == "no such lease":
             raise NoSuchLease
+        if status == 400:
+            log.error("state service: a transaction of %d changes is refused: %s", len(writes), answer)
+            raise Refused("refused by its size")
         log.error("state service: unexpected %s to a transaction: %s", status, answer)
         raise Unknown(f"unexpected status {status}")
 
--- a/tidebend/transport/__init__.py
+++ b/tidebend/transport/__init__.py
@@ -98,6 +98,11 @@
         with self._lock:
             self._level = min(self.rate, self._level + amount)
 
+    def change(self, rate: float) -> None:
+        with self._lock:
+            self.rate = rate
+            self._level = min(rate, self._level)
+
 
 class BadRequest(Exception):
     """The request can't be read; answered with 400."""
