--- /dev/null
+++ b/tests/production.py
@@ -0,0 +1,66 @@
+"""The version in production, from the repository's history, to run beside the one that is to replace it."""
+
+from __future__ import annotations
+
+import importlib
+import io
+import subprocess
+import sys
+import tarfile
+import tomllib
+from dataclasses import dataclass
+from functools import cache
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parents[1]
+
+
+@dataclass(frozen=True)
+class Version:
+    """What the simulated world needs of a version of the package."""
+
+    controller: Any
+    settings: Any
+    knobs: Any
+    unreachable: type[Exception]
+    no_answer: type[Exception]
+    quiet: tuple[type[Exception], ...]
+    reply: Any
+
+
+def _loaded() -> dict[str, Any]:
+    return {name: module for name, module in sys.modules.items() if name.partition(".")[0] == "tidebend"}
+
+
+def current() -> Version:
+    parts = {name: importlib.import_module(f"tidebend.{name}")
+             for name in ("service", "settings", "transport", "storage", "protocol")}
+    return Version(parts["service"].Controller, parts["settings"].read_settings, parts["settings"].Knobs,
+                   parts["transport"].Unreachable, parts["transport"].NoAnswer,
+                   (parts["storage"].Unavailable, parts["storage"].Unknown, parts["protocol"].Invalid),
+                   parts["transport"].Reply)
+
+
+@cache
+def production() -> Version | None:
+    """None without the history that it is read from."""
+    with open(ROOT / "deploy" / "service.toml", "rb") as source:
+        commit = tomllib.load(source)["production"]
+    done = subprocess.run(["git", "-C", str(ROOT), "archive", commit, "tidebend"], capture_output=True, check=False)
+    if done.returncode:
+        return None
+    where = ROOT / "target" / "production" / commit
+    with tarfile.open(fileobj=io.BytesIO(done.stdout)) as archive:
+        archive.extractall(where, filter="data")
+    ours = _loaded()
+    for name in ours:
+        del sys.modules[name]
+    sys.path.insert(0, str(where))
+    try:
+        return current()
+    finally:
+        sys.path.remove(str(where))
+        for name in _loaded():
+            del sys.modules[name]
+        sys.modules.update(ours)
