--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -42,3 +42,16 @@
 def test_a_mistyped_field_is_named():
     with pytest.raises(SettingsError, match="member must be a text"):
         read_settings({"outside": {}, "deployment": {"workers": {}, "state": {}, "cloud": {}}, "member": 3}, Knobs())
+
+
+def test_limits_to_come_fall_back_to_those_in_force_and_only_shrink():
+    world = World(1, ["north"], [], [])
+    assert world.settings("n0").state_next == world.settings("n0").state_limits
+    world.next_limits = {"value_kb": 2.0, "txn_ops": 99}
+    settings = world.settings("n0")
+    assert settings.name == "n0" and settings.late_aims == {"c": 1.5}
+    assert (settings.state_next.value_bytes, settings.state_next.txn_ops) == (2048, 12)
+    assert settings.state_next.write_rps == settings.state_limits.write_rps
+    world.next_limits = {"txn_ops": "few"}
+    with pytest.raises(SettingsError, match=r"deployment.state.next.txn_ops must be a number"):
+        world.settings("n0")
--- a/tests/world.py
+++ b/tests/world.py
@@ -408,6 +408,8 @@
                                        "gang_peer_s": 5.0, "cancel_s": self.cancel_s},
                            "state": {"rps": 60.0, "write_rps": 15.0, "value_kb": 8.0, "txn_ops": 12,
                                      "next": self.next_limits},
+                           "objectives": [{"kind": "deadline", "class": "c", "share": 0.9, "times": times}
+                                          for times in (1.5, 1.0)],
                            "cloud": {"rps": 5.0, "list_lag_s": self.list_lag_s},
                            "resources": {"max_sockets": 600}},
         }, version.knobs())
--- a/tidebend/settings.py
+++ b/tidebend/settings.py
@@ -195,7 +195,7 @@
 def read_settings(table: dict[str, Any], knobs: Knobs) -> Settings:
     # The platform's file has words of its own; they end here.
     top = _Reader(table)
-    name = top.text("member")
+    member = top.text("member")
     outside = top.table_of("outside")
     deployment = top.table_of("deployment")
     workers = deployment.table_of("workers")
@@ -215,10 +215,10 @@
         if row.table.get("kind") == "wait" and "class" in row.table:
             start_aims[row.text("class")] = row.number("within_s")
         if row.table.get("kind") == "deadline" and "class" in row.table:
-            name = row.text("class")
-            late_aims[name] = max(late_aims.get(name, 1.0), row.number("times", default=1.0))
+            times = row.number("times", default=1.0)
+            late_aims[row.text("class")] = max(late_aims.get(row.text("class"), 1.0), times)
     return Settings(
-        name=name,
+        name=member,
         zone=top.text("site"),
         listen=top.address("serve_on"),
         peer_listen=top.address("peer_bind"),
