--- a/tidebend/cli.py
+++ b/tidebend/cli.py
@@ -19,8 +19,9 @@
         description="One controller of a tidebend cluster. Without a command it runs until it is killed.",
         epilog="LOG_LEVEL in the environment (error, info, debug) says how much is logged to standard error.",
     )
-    top.add_argument("command", nargs="?", choices=["run", "check-config"], default="run",
-                     help="run the controller (default), or only check the settings")
+    top.add_argument("command", nargs="?", choices=["run", "check-config", "format"], default="run",
+                     help="run the controller (default), only check the settings, or show the format of records that "
+                          "is in force and what each controller reads")
     top.add_argument("--config", metavar="FILE", required=True, help="the platform's settings file (TOML)")
     top.add_argument("--knobs", metavar="FILE",
                      help="the operators' own settings (HCL); the defaults hold without it")
@@ -43,6 +44,10 @@
     if arguments.command == "check-config":
         print(f"{arguments.config}: fine for {settings.name} of {len(settings.peers) + 1} controllers")
         return 0
+    if arguments.command == "format":
+        from tidebend.coordination.formats import show
+
+        return show(settings)
     from tidebend.service import run  # the rest is imported only when it is needed
 
     run(settings)
--- a/tidebend/coordination/formats.py
+++ b/tidebend/coordination/formats.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import logging
+import sys
 
 from tidebend.settings import Settings
-from tidebend.storage import LIVE, Mirror, StateClient
+from tidebend.storage import LIVE, Mirror, StateClient, Unavailable, Unknown
 
 log = logging.getLogger("formats")
 
@@ -60,3 +61,18 @@
     def _put(self, key: str, value: dict[str, int], conditions: dict[str, int]) -> None:
         revision = self.state.transact(conditions, [(key, value, None)], "lease")
         self.mirror.apply([(key, value, revision)])
+
+
+def show(settings: Settings) -> int:
+    """For operators: what is in force, and whom the next format waits for."""
+    state = StateClient(settings.state, settings.state_limits, settings.controllers, timeout=2.0)
+    try:
+        value, _ = state.get(FORMAT)
+        print(f"format {value['version'] if value else 1} is in force")
+        for name in sorted((settings.name, *(peer.name for peer in settings.peers))):
+            value, _ = state.get(READS + name)
+            print(f"{name} reads up to format {value['newest'] if value else 1}")
+    except (Unavailable, Unknown) as error:
+        print(f"tidebend: the state service can't be read: {error}", file=sys.stderr)
+        return 1
+    return 0
