--- a/tidebend/bookkeeping/book.py
+++ b/tidebend/bookkeeping/book.py
@@ -4,7 +4,7 @@
 
 import threading
 from collections import OrderedDict
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from typing import Any
 
 from tidebend.bookkeeping.claims import Claim
@@ -26,6 +26,21 @@
     return state if plain else {"state": state, "at": round(at, 3)}
 
 
+@dataclass(slots=True)
+class _PartRecord:
+    """Unpacked once, when a head says what it means: a job changes with each of its parts."""
+
+    value: Any
+    version: int
+    first: int = -1
+    unpacked: Part | None = None
+
+    def part(self, first: int) -> Part:
+        if self.unpacked is None or self.first != first:
+            self.first, self.unpacked = first, Part.unpack(self.value, self.version, first)
+        return self.unpacked
+
+
 class JobBook:
     """Live jobs, teams' usage and recent finals; changed only by what the mirror passes on, under its lock.
 
@@ -37,7 +52,7 @@
         self.lock = lock
         self.jobs: dict[str, Job] = {}
         self._heads: dict[str, Job] = {}  # as recorded, before anything is derived
-        self._parts: dict[str, dict[int, tuple[Any, int]]] = {}
+        self._parts: dict[str, dict[int, _PartRecord]] = {}
         self._charged: dict[str, tuple[float, float, int]] = {}  # team -> its record and the record's version
         self._ended: dict[str, list[float]] = {}  # team -> what its live jobs' ended claims took
         self._finals: OrderedDict[str, Final] = OrderedDict()
@@ -64,8 +79,9 @@
                 if not parts:
                     del self._parts[name]
             else:
-                parts[int(number)] = (value, version)
-            self._derive(name)
+                parts[int(number)] = _PartRecord(value, version)
+            if name in self._heads:
+                self._derive(name)
         elif key.startswith(TEAM):
             if value is None:
                 self._charged.pop(key[len(TEAM):], None)
@@ -115,9 +131,9 @@
             head = self._heads.get(name)
             if head is not None:
                 if head.parts:
-                    rows = self._parts.get(name, {})
-                    head = head.assembled({number: Part.unpack(value, version, number * head.parts.size)
-                                           for number, (value, version) in rows.items()})
+                    size = head.parts.size
+                    head = head.assembled({number: record.part(number * size)
+                                           for number, record in self._parts.get(name, {}).items()})
                 if head.awaits:
                     outcomes = [self._outcome(other) for other in head.awaits]
                     if any(outcome is not None and outcome[0] == CANCELLED for outcome in outcomes):
@@ -172,12 +188,12 @@
     def part_versions(self, name: str) -> dict[int, int]:
         """The records of a job's parts, those included that its head doesn't speak of yet."""
         with self.lock:
-            return {number: version for number, (_, version) in self._parts.get(name, {}).items()}
+            return {number: record.version for number, record in self._parts.get(name, {}).items()}
 
     def part_sources(self, name: str) -> dict[int, int]:
         """The versions of the record from which a job's parts were split."""
         with self.lock:
-            return {number: value.get("source", 0) for number, (value, _) in self._parts.get(name, {}).items()}
+            return {number: record.value.get("source", 0) for number, record in self._parts.get(name, {}).items()}
 
     # Who waits for whom
 
