--- /dev/null
+++ b/tests/test_upgrade.py
@@ -0,0 +1,110 @@
+"""Records and frames of the version in production: samples that it made, read, used and written again."""
+
+import json
+import random
+from pathlib import Path
+
+import pytest
+
+from tests.test_scenarios import Scenario
+from tests.world import World
+from tidebend.bookkeeping.book import JobBook, pack_final, unpack_final
+from tidebend.bookkeeping.jobs import HEAD, JOB, Job
+from tidebend.coordination.formats import FORMAT, READS
+
+SAMPLES = json.loads((Path(__file__).parent / "samples" / "production.json").read_text())
+SCENE = """machines 2 box north
+machines 2 box south
+2 submit req-a pieces=9 vcpus=2 run_s=6
+3 submit req-s shape=service rank=critical pieces=2 spread=true reckonS=0 driftwood=false
+4 submit req-g shape=group pieces=2 run_s=9 samePlace=true
+20 submit req-b pieces=40 vcpus=1 run_s=9
+20.5 submit req-c pieces=3 vcpus=1 run_s=90
+24 cancel req-c
+26 submit req-h pieces=300 vcpus=0.1 memoryGb=0.1 run_s=30
+"""
+
+
+def kind(key):
+    return "/".join(key.split("/")[:3]) if "/live/" in key else key.rpartition("/")[0]
+
+
+def shape(value):
+    """A value's structure: names and types, not contents."""
+    if isinstance(value, dict):
+        return {key: shape(part) for key, part in value.items()}
+    if isinstance(value, list):
+        return [shape(part) for part in value]
+    return float if isinstance(value, int | float) else type(value)
+
+
+@pytest.mark.parametrize("sample", SAMPLES["jobs"], ids=lambda sample: "+".join(sample["value"]))
+def test_a_job_as_production_wrote_it_is_read_and_written_as_it_was(sample):
+    job = Job.unpack(sample["key"][len(JOB):], sample["value"], 7)
+    assert json.loads(json.dumps(job.pack())) == sample["value"]
+    assert job.key == sample["key"] and not job.held
+
+
+def test_productions_teams_and_finals_are_read():
+    import threading
+
+    book = JobBook(threading.RLock(), 10)
+    for version, (key, value) in enumerate(SAMPLES["items"].items(), 1):
+        book.on_change(key, value, version)
+    ended = sum(job.ended * job.spec.cpus for job in book.live())
+    assert book.team("team").cpus == pytest.approx(SAMPLES["items"]["tidebend/live/team/team"][0] - ended)
+    assert book.final("req-a") == "done" and book.final("req-c") == "cancelled"
+    assert unpack_final(pack_final("done", 5.0, plain=True)) == ("done", 0.0)
+    assert pack_final("done", 5.0, plain=True) == SAMPLES["items"]["tidebend/final/req-a"]
+    assert unpack_final(pack_final("done", 5.0, plain=False)) == ("done", 5.0)
+
+
+def test_until_the_format_is_raised_everything_has_productions_structure(tmp_path):
+    """One controller is never there: it might come back old, and would drop what it doesn't know."""
+    (tmp_path / "scene.txt").write_text(SCENE + "0.0 crash n2 1000\nrun 32\n")
+    world = Scenario(tmp_path / "scene.txt").run()
+    known = {}
+    for key, value in [*SAMPLES["items"].items(), *((row["key"], row["value"]) for row in SAMPLES["jobs"])]:
+        known.setdefault(kind(key), []).append(shape(value))
+    written = [(row["put"], row["v"]) for row in world.state.changes if "put" in row]
+    assert {kind(key) for key, _ in written} - set(known) == {kind(READS + "n0")}  # which production never looks at
+    assert FORMAT not in world.state.items
+    for key, value in written:
+        if kind(key) == kind(JOB):
+            assert len(value["spec"]) == len(SAMPLES["jobs"][0]["value"]["spec"])
+            assert any(set(value) <= set(sample) | {"cancelled"} for sample in known[kind(key)]), value
+            assert all(list(map(type, row[:4])) == [int, int, float, str] for row in value.get("claims", ()))
+        elif kind(key) in known:
+            # what a node can't hear is a list of texts that is mostly empty
+            assert shape(value) in known[kind(key)] or "unheard" in value, (key, value)
+    frame = json.loads(json.dumps(world.controllers["n0"].news()))
+    assert list(frame) == list(SAMPLES["frame"])
+    assert [type(part) for part in frame["machines"][0]] == [type(part) for part in SAMPLES["frame"]["machines"][0]]
+
+
+def awaiting(name, **more):
+    from tests.test_scenarios import JOB as FIELDS
+
+    return {"id": name, **FIELDS, "awaits": ["req-a"], **more}
+
+
+def test_awaits_is_not_dropped_before_the_format_is_raised():
+    random.seed(1)
+    world = World(1, ["north", "south"], [{"name": "team", "cpus_max": 9.0}], [])
+    world.types.append({"name": "box", "vcpus": 8.0, "accelerators": 0.0, "memoryGb": 32.0, "localGb": 50.0,
+                        "fetchGbPerS": 1.0, "price": 1.0, "spotPrice": 0.4, "startupS": 10.0, "harbors": ["north"]})
+    world.crash("n1", 10.0)
+    with world.clock():
+        for _ in range(60):
+            world.step()
+        world.jobs["req-a"] = {key: value for key, value in awaiting("req-a").items() if key != "awaits"}
+        assert world.user("submit", "req-a", "n0")[0] == 201
+        raw = json.dumps(awaiting("req-b")).encode()
+        reply = world.controllers["n0"].users.submit(raw)
+        assert reply.status == 503 and reply.headers["Retry-After"]
+        assert HEAD + "req-b" not in world.state.items
+        for _ in range(80):
+            world.step()
+        assert world.state.items[FORMAT][0] == {"version": 2}
+        assert world.controllers["n0"].users.submit(raw).status == 201
+        assert HEAD + "req-b" in world.state.items and JOB + "req-b" not in world.state.items
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -455,15 +455,20 @@
                     largest_share(spec, list(self.types().values())),
                     spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()))
 
-    def _turn(self, job: Job, block: str, blocks: list[str], now: float) -> float:
-        """Seconds until this block may take a job's tasks: holders take turns, so as not to collide."""
+    def _turn(self, job: Job, block: str, blocks: list[str], now: float, round_: int) -> float:
+        """Seconds until this block may take a job's tasks: holders take turns, so as not to collide.
+
+        Blocks with the job's image at hand take theirs in a round before the others: a fetch takes longer.
+        """
         pending = job.pending
         seen = self._waiting_since.get(job.id)
         if seen is None or seen[0] != pending:
             seen = (pending, now if seen is None else seen[1])
             self._waiting_since[job.id] = seen
         order = _order(job.id, blocks)
-        return seen[1] + order.index(block) * self.turn_s - now if block in order else 0.0
+        if block not in order:
+            return 0.0
+        return seen[1] + (order.index(block) + round_ * len(order)) * self.turn_s - now
 
     def plan(self) -> None:
         now, clock = time.monotonic(), time.time()
@@ -477,7 +482,10 @@
         places = self.places(now, clock) if jobs else None
         if not places:
             return
+        at_hand: dict[str, list[Place]] = {}
         for place, _, _ in places.values():
+            for image in place.images:
+                at_hand.setdefault(image, []).append(place)
             # values are of the time of day, and so are the slots
             place.timeline.times = [time_ - now + clock for time_ in place.timeline.times]
             place.until += clock - now
@@ -489,7 +497,10 @@
             want = self.want(job, now, clock)
             if want is None:
                 continue
-            turn = min((self._turn(job, block, blocks, now) for block in mine), default=0.0)
+            need = need_of(job.spec)
+            fetched = any(times_fit(place.timeline.free[0], need) and allowed_on(want, place)
+                          for place in at_hand.get(job.spec.image, ()))
+            turn = min((self._turn(job, block, blocks, now, int(not fetched)) for block in mine), default=0.0)
             if job.spec.kind == "array" and job.id in self._claimed_at:
                 turn = max(turn, self._claimed_at[job.id] + self.claim_pause_s - now)
             if turn > 0:
