--- a/tidebend/storage/__init__.py
+++ b/tidebend/storage/__init__.py
@@ -113,7 +113,8 @@
 
     def transact(self, conditions: dict[str, int], writes: list[Write], kind: str = "claim",
                  patience: float = 0.5) -> int:
-        """Returns the revision; raises Conflict, NoSuchLease, Unavailable or Unknown."""
+        """Returns the revision; raises Conflict, NoSuchLease, Refused, Unavailable or Unknown."""
+        log.debug("%s: %d changes of %s", kind, len(writes), " ".join(key for key, _, _ in writes))
         status, answer = self._call("POST", protocol.PATH_TRANSACTION, protocol.transaction(conditions, writes),
                                     kind, len(writes), patience=patience)
         try:
