--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -19,6 +19,8 @@
 from tidebend.scheduling import Place, Placement, Timeline, Want, own_demand, value_of
 from tidebend.service.ledger import Edit, packed_bytes
 from tidebend.service.planner import _Ends
+from tidebend.storage import Unknown
+from tidebend.transport import NoAnswer
 
 TYPES = [{"name": "box", "vcpus": 8.0, "accelerators": 0.0, "memoryGb": 32.0, "localGb": 50.0, "fetchGbPerS": 1.0,
           "price": 1.0, "spotPrice": 0.4, "startupS": 10.0, "harbors": ["north", "south"]}]
@@ -29,8 +31,19 @@
     return parse_job({**JOB, **changes})
 
 
+@pytest.fixture
+def old_world(monkeypatch):
+    """The format is never raised: teams have the records that the version before pipelines keeps."""
+    monkeypatch.setattr("tidebend.coordination.formats.Formats.raise_if_all_read", lambda self, leader: None)
+    yield from begun()
+
+
 @pytest.fixture
 def world():
+    yield from begun()
+
+
+def begun():
     random.seed(1)
     made = World(1, ["north", "south"], TEAMS, TYPES)
     for zone in made.zones:
@@ -233,8 +246,8 @@
 
 # A team's record counts claims, the jobs' records count ends
 
-def test_usage_is_what_the_claims_take_through_claims_ends_and_the_end_of_a_job(world):
-    first, second = stale_pair(world, a=spec(pieces=2), b=spec(pieces=2))
+def test_usage_is_what_the_claims_take_through_claims_ends_and_the_end_of_a_job(old_world):
+    first, second = stale_pair(old_world, a=spec(pieces=2), b=spec(pieces=2))
     assert claim(first, "a", "vm-000000", 3) is not None
     assert first.book.team("team").cpus == 8.0
     ended = {("vm-000000", 1, 1): 1}
@@ -259,6 +272,80 @@
     assert claim(second, "b", "vm-000001", 1) is None
 
 
+# Shares: a team's limit in each zone
+
+def shared(world, **limit):
+    """Two controllers that hold a zone each, and a team with that limit in shares, all of it free."""
+    pair = stale_pair(world, a=spec(pieces=8, vcpus=1.0), b=spec(pieces=8, vcpus=1.0))
+    assert pair[0].book.team("team").shares
+    return pair
+
+
+def claim_in(controller, zone, name, tasks):
+    grant = controller.coordinator.grant(f"{zone}.0")
+
+    def edit(job, usage):
+        wanted = job.pending & tasks
+        if not controller.settings.teams["team"].allows(usage.plus(job.spec, wanted.bit_count()).cpus, 0.0):
+            return None
+        return job.with_claims([Claim(f"vm-{zone}", 1, job.started + 1, wanted, 0.0, zone)])
+    return controller.ledger.change(name, edit, dict([controller.coordinator.condition(grant)]))
+
+
+def test_holders_of_two_zones_use_a_limit_up_and_never_more_whatever_they_know_of_each_other(world):
+    first, second = shared(world)
+    assert claim_in(first, "north", "a", 0b111) is not None
+    assert claim_in(second, "south", "b", 0b11111111) is None  # only five are left, as it learns by the conflict
+    assert claim_in(second, "south", "b", 0b1) is not None
+    shares = second.book.team("team").shares
+    assert sum(row[0] for row in shares.zones.values()) <= 8.0
+    # within its share a claim changes nothing but the job, so that it collides with nobody
+    before = world.state.revision
+    assert claim_in(first, "north", "a", 0b1000) is not None
+    assert [row.get("put") for row in world.state.changes if row["stamp"] > before] == ["tidebend/live/job/a"]
+    # what the other zone took ahead is not to be had, until its holder gives it back
+    first.mirror.catch_up(0.0, "claim")
+    assert claim_in(first, "north", "a", 0b1110000) is None
+    assert second.ledger.give_back("team") and not second.ledger.give_back("team")
+    first.mirror.catch_up(0.0, "claim")
+    assert claim_in(first, "north", "a", 0b1110000) is not None
+    assert first.book.used("team") == (8.0, 0.0)
+
+
+def test_a_claim_that_may_be_executed_late_is_ended_before_its_team_claims_again(world):
+    """Two jobs' claims within one share don't compare each other's records: the late one must not come on top."""
+    first, _ = shared(world)
+    assert claim_in(first, "north", "a", 0b1) is not None
+    share = int(first.book.team("team").shares.zones["north"][0])
+    late, whole = [], first.state._http.request
+
+    def lost(method, path, body=None, timeout=2.0):
+        if path == "/multi":
+            late.append(body)
+            raise NoAnswer("lost")
+        return whole(method, path, body, timeout)
+
+    first.state._http.request = lost
+    with pytest.raises(Unknown):
+        claim_in(first, "north", "a", (1 << share) - 1)
+    first.state._http.request = whole
+    assert claim_in(first, "north", "b", (1 << share - 1) - 1) is not None
+    assert world.state.transact(late[0])[0] == 409
+
+
+def test_shares_begin_with_what_is_used_and_an_old_reading_of_the_team_claims_nothing_more(old_world, monkeypatch):
+    first, second = stale_pair(old_world, a=spec(pieces=2, vcpus=1.0), b=spec(pieces=2, vcpus=1.0))
+    assert claim(first, "a", "vm-000000", 1) is not None
+    second.mirror.catch_up(0.0, "claim")
+    old_world.state.transact({"if": [], "writes": [{"put": "tidebend/live/format", "v": {"version": 2}}]})
+    first.mirror.catch_up(0.0, "claim")
+    first.ledger.share_out()
+    assert first.book.team("team").shares.zones == {"north": (1.0, 0.0), "south": (0.0, 0.0)}
+    assert second.book.team("team").shares is None
+    assert claim(second, "b", "vm-000001", 1) is not None  # by the shares, that it learns of by the conflict
+    assert second.book.team("team").shares
+
+
 def test_several_jobs_go_into_one_transaction_and_share_their_teams_record(world):
     first, _ = stale_pair(world, a=spec(pieces=1), b=spec(pieces=1), c=spec(pieces=1))
 
@@ -273,10 +360,10 @@
     assert world.state.revision == before + 1
 
 
-def test_pages_are_taken_over_as_of_one_revision(world):
+def test_pages_are_taken_over_as_of_one_revision(old_world):
     """A job that is over, read before its end was written, next to a team's record read after it, would make the
     team's usage look smaller than it is."""
-    first, second = stale_pair(world, a=spec(), b=spec())
+    first, second = stale_pair(old_world, a=spec(), b=spec())
     assert claim(first, "a", "vm-000000", 1) is not None
     assert first.ledger.change("a", lambda job, _: job.without({("vm-000000", 1, 1): 1}, 0), {})
     whole = second.state.items
--- a/tidebend/bookkeeping/book.py
+++ b/tidebend/bookkeeping/book.py
@@ -4,13 +4,14 @@
 
 import threading
 from collections import OrderedDict
+from collections.abc import Iterable
 from dataclasses import dataclass, replace
 from typing import Any
 
 from tidebend.bookkeeping.claims import Claim
 from tidebend.bookkeeping.jobs import HEAD, JOB, Job
 from tidebend.bookkeeping.parts import PART, Part
-from tidebend.bookkeeping.teams import TEAM, Usage, amount
+from tidebend.bookkeeping.teams import QUOTA, TEAM, Amounts, Shares, Usage, amount
 from tidebend.storage import FINAL
 
 CANCELLED = "cancelled"
@@ -54,6 +55,8 @@
         self._heads: dict[str, Job] = {}  # as recorded, before anything is derived
         self._parts: dict[str, dict[int, _PartRecord]] = {}
         self._charged: dict[str, tuple[float, float, int]] = {}  # team -> its record and the record's version
+        self._shares: dict[str, Shares] = {}
+        self._used: dict[tuple[str, str], list[float]] = {}  # team and zone -> what its claims there take
         self._ended: dict[str, list[float]] = {}  # team -> what its live jobs' ended claims took
         self._finals: OrderedDict[str, Final] = OrderedDict()
         self._keep_finals = keep_finals
@@ -87,6 +90,11 @@
                 self._charged.pop(key[len(TEAM):], None)
             else:
                 self._charged[key[len(TEAM):]] = (value[0], value[1], version)
+        elif key.startswith(QUOTA):
+            if value is None:
+                self._shares.pop(key[len(QUOTA):], None)
+            else:
+                self._shares[key[len(QUOTA):]] = Shares(version, {zone: tuple(row) for zone, row in value.items()})
         elif key.startswith(FINAL) and value is not None:
             self.remember_final(key[len(FINAL):], value)
 
@@ -150,6 +158,10 @@
             return
         self._count_ended(job, sign)
         for claim in job.claims:
+            used = self._used.setdefault((job.spec.team, claim.zone), [0.0, 0.0])
+            tasks = sign * claim.tasks.bit_count()
+            used[0] = amount(used[0] + tasks * job.spec.cpus)
+            used[1] = amount(used[1] + tasks * job.spec.gpus)
             if sign > 0:
                 self._by_machine.setdefault(claim.machine, {}).setdefault(job.id, []).append((job, claim))
                 continue
@@ -217,8 +229,20 @@
                     (left if other in self._heads else found).append(other)
             return found
 
-    def team(self, name: str) -> Usage:
+    def used(self, team: str, zones: Iterable[str] | None = None) -> Amounts:
+        """What a team's claims take, everywhere or in some zones."""
+        with self.lock:
+            rows = [row for (name, zone), row in self._used.items()
+                    if name == team and (zones is None or zone in zones)]
+            return sum(row[0] for row in rows), sum(row[1] for row in rows)
+
+    def team(self, name: str, zones: Iterable[str] = ()) -> Usage:
+        """A team's usage as who holds these zones may act on it."""
         with self.lock:
+            shares = self._shares.get(name)
+            if shares is not None:
+                others, here = shares.total(but=zones), self.used(name, zones)
+                return Usage(amount(others[0] + here[0]), amount(others[1] + here[1]), shares.version, shares=shares)
             cpus, gpus, version = self._charged.get(name, (0.0, 0.0, 0))
             ended = self._ended.get(name, (0.0, 0.0))
             return Usage(amount(cpus - ended[0]), amount(gpus - ended[1]), version, (cpus, gpus))
--- a/tidebend/coordination/__init__.py
+++ b/tidebend/coordination/__init__.py
@@ -159,6 +159,10 @@
             blocks = list(self._held)
         return [grant for grant in map(self.grant, blocks) if grant is not None]
 
+    def held_zones(self) -> dict[str, tuple[str, int]]:
+        """The zones whose blocks are ours, with the conditions that they still are."""
+        return {zone_of(grant.block): self.condition(grant) for grant in self.grants()}
+
     def condition(self, grant: Grant) -> tuple[str, int]:
         return BLOCK + grant.block, grant.token
 
--- a/tidebend/service/__init__.py
+++ b/tidebend/service/__init__.py
@@ -43,7 +43,7 @@
         self.dispatcher = Dispatcher(settings, self.book, self.fleet, lambda: self.planner.wake(), connect)
         self.formats = Formats(settings, self.state, self.mirror)
         self.coordinator = Coordinator(settings, self.state, self.mirror, self.dispatcher.took_up, self.formats)
-        self.ledger = Ledger(self.state, self.mirror, self.book, self.formats, settings.state_limits)
+        self.ledger = Ledger(settings, self.state, self.mirror, self.book, self.formats, self.coordinator.held_zones)
         self.planner = Planner(settings, self.coordinator, self.book, self.fleet, self.ledger, self._types,
                                self.dispatcher.send)
         self.link = PeerLink(settings, self.news, self.coordinator.told)
--- a/tidebend/service/ledger.py
+++ b/tidebend/service/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import logging
 import time
@@ -13,10 +14,10 @@
 from tidebend.bookkeeping.jobs import HEAD, Job
 from tidebend.bookkeeping.parts import PART, Parts, part_size
 from tidebend.bookkeeping.tasksets import members
-from tidebend.bookkeeping.teams import TEAM, Usage
+from tidebend.bookkeeping.teams import QUOTA, SPENT, TEAM, Amounts, Shares, Usage
 from tidebend.coordination.formats import FORMAT, Formats
 from tidebend.protocol import Write
-from tidebend.settings import Limits
+from tidebend.settings import Limits, Settings, Team
 from tidebend.storage import FINAL, Conflict, Mirror, NoSuchLease, Refused, StateClient, Unavailable, Unknown
 
 log = logging.getLogger("ledger")
@@ -25,6 +26,8 @@
 MOST_BYTES = 48 * 1024
 # claims leave the rest of a record to what the numbers of done tasks may need while the claims end one by one
 CLAIMS_SHARE = 0.75
+# of what is free of a team's limit, the zones together take this share ahead of need
+AHEAD = 0.5
 
 
 def packed_bytes(value: Any) -> int:
@@ -60,22 +63,41 @@
     checks: dict[str, int] = field(default_factory=dict)
     writes: dict[str, Write] = field(default_factory=dict)
     teams: dict[str, Usage] = field(default_factory=dict)
+    added: dict[tuple[str, str], Amounts] = field(default_factory=dict)  # team and zone -> more claimed than ended
     jobs: dict[str, Job] = field(default_factory=dict)
     edits: list[Edit] = field(default_factory=list)
     bytes: int = 0
 
 
+def _added(before: Job, after: Job) -> dict[str, Amounts]:
+    """What a change claims more than it ends, by zone."""
+    tasks: dict[str, int] = {}
+    for job, sign in ((before, -1), (after, 1)):
+        for zone, count in job.per_zone().items():
+            tasks[zone] = tasks.get(zone, 0) + sign * count
+    return {zone: (count * after.spec.cpus, count * after.spec.gpus) for zone, count in tasks.items() if count}
+
+
+def _within(need: Amounts, share: Amounts, limit: Team) -> bool:
+    return (limit.cpus_max is None or need[0] <= share[0] + 1e-6) and (
+        limit.gpus_max is None or need[1] <= share[1] + 1e-6)
+
+
 def _part_key(job: str, number: int) -> str:
     return f"{PART}{job}/{number}"
 
 
 class Ledger:
-    def __init__(self, state: StateClient, mirror: Mirror, book: JobBook, formats: Formats, limits: Limits) -> None:
+    def __init__(self, settings: Settings, state: StateClient, mirror: Mirror, book: JobBook, formats: Formats,
+                 held: Callable[[], dict[str, tuple[str, int]]]) -> None:
+        self.settings = settings
+        self.held = held  # the zones whose blocks are ours, with the conditions that they still are
+        self._doubtful: set[str] = set()  # teams with claims that may be executed yet
         self.state = state
         self.mirror = mirror
         self.book = book
         self.formats = formats
-        self.keep_within(limits)
+        self.keep_within(settings.state_limits)
 
     def keep_within(self, limits: Limits) -> None:
         self.value_bytes = limits.value_bytes
@@ -130,6 +152,8 @@
         A team's record moves by just what its jobs' claims add, in the same transaction. Raises Unavailable or
         Unknown; after Unknown the cache has been brought up to a later read, or that has failed too.
         """
+        if self._doubtful:
+            self._settle_doubts(patience)
         changed: dict[str, Job] = {}
         left = list(edits)
         large: list[Edit] = []
@@ -161,6 +185,7 @@
                 continue
             except Unknown:
                 # may have happened, or may still: a read shows which, and a later arrival fails on its conditions
+                self._doubtful.update(team for team, _ in batch.added)
                 self.mirror.barrier(self.state.timeout, "claim")
                 raise
             except NoSuchLease as error:
@@ -175,13 +200,14 @@
     def _gather(self, edits: list[Edit], most: int, large: list[Edit]) -> tuple[_Batch, list[Edit]]:
         """As many edits as one transaction holds, and the rest."""
         batch = _Batch()
+        zones = self.held()
         for number, edit in enumerate(edits):
             with self.book.lock:
                 job = self.book.get(edit.job)
                 if job is None or edit.job in batch.jobs:
                     continue
                 team = job.spec.team
-                usage = batch.teams.get(team) or self.book.team(team)
+                usage = batch.teams.get(team) or self.book.team(team, zones)
             new = edit.make(job, usage)
             if new is None:
                 continue
@@ -198,7 +224,15 @@
             checks = {**draft.checks, **edit.conditions}
             writes = list(draft.writes)
             charged = draft.usage.charged != usage.charged
-            if charged:
+            added = _added(job, draft.job)
+            if usage.shares:
+                charged = False
+                quota = self._share(team, usage.shares, batch, added, zones)
+                if quota is None:
+                    continue
+                checks.update(quota[0])
+                writes += quota[1]
+            elif charged:
                 checks[TEAM + team] = usage.version
                 writes.append((TEAM + team, draft.usage.pack(), None))
             if batch.writes and (len({*batch.writes, *(key for key, _, _ in writes)}) > most
@@ -207,13 +241,95 @@
                 return batch, edits[number:]
             batch.checks.update(checks)
             batch.writes.update((write[0], write) for write in writes)
-            if charged:
+            if charged or usage.shares:
                 batch.teams[team] = draft.usage
+            for zone, (cpus, gpus) in added.items():
+                before = batch.added.get((team, zone), (0.0, 0.0))
+                batch.added[team, zone] = (before[0] + cpus, before[1] + gpus)
             batch.jobs[edit.job] = draft.job
             batch.edits.append(edit)
             batch.bytes += draft.bytes
         return batch, []
 
+    # Teams' shares of their limits in zones
+
+    def _share(self, team: str, shares: Shares, batch: _Batch, added: dict[str, Amounts],
+               held: dict[str, tuple[str, int]]) -> tuple[dict[str, int], list[Write]] | None:
+        """The conditions and writes under which a team may claim more; None if it may not."""
+        limit = self.settings.teams.get(team)
+        grown = [zone for zone, (cpus, gpus) in added.items() if cpus > 0 or gpus > 0]
+        if not grown or limit is None:
+            return {}, []
+        checks = {QUOTA + team: shares.version}
+        written = batch.writes.get(QUOTA + team)
+        zones = {zone: tuple(row) for zone, row in written[1].items()} if written else dict(shares.zones)
+        needs = {}
+        for zone in {*grown, *held}:
+            used = self.book.used(team, (zone,))
+            for cpus, gpus in (batch.added.get((team, zone), (0.0, 0.0)), added.get(zone, (0.0, 0.0))):
+                used = (used[0] + cpus, used[1] + gpus)
+            needs[zone] = used
+        have = (0.0, 0.0)
+        if all(_within(needs[zone], zones.get(zone, have), limit) for zone in grown):
+            return checks, []
+        # what lies unused in our own zones serves first, then what is free; a part of that is taken ahead
+        for zone in needs:
+            if zone in held or zone in grown:
+                zones[zone] = needs[zone]
+        total = Shares(0, zones).total()
+        if not limit.allows(*total):
+            return None
+        ahead = AHEAD / max(1, len(self.settings.zones) * len(grown))
+        for zone in grown:
+            zones[zone] = tuple(need + ahead * max(0.0, (most or 0.0) - taken) for need, most, taken in zip(
+                needs[zone], (limit.cpus_max, limit.gpus_max), total, strict=True))
+        checks.update(dict(held.values()))
+        return checks, [(QUOTA + team, Shares(0, zones).pack(), None)]
+
+    def _settle_doubts(self, patience: float) -> None:
+        """A claim without an answer may be executed late, and only its team's shares bound what it takes.
+
+        Writing them anew ends that: it was conditional on the shares as they were. What happened before is read.
+        """
+        for team in sorted(self._doubtful):
+            shares = self.book.team(team).shares
+            if shares:
+                with contextlib.suppress(Conflict):  # they have been written since: just as well
+                    self._step({QUOTA + team: shares.version}, [(QUOTA + team, shares.pack(), None)], patience)
+        if not self.mirror.barrier(self.state.timeout, "claim"):
+            raise Unavailable("no read after a claim without an answer")
+        self._doubtful.clear()
+
+    def share_out(self) -> None:
+        """Give limited teams shares instead of a common record, from what they use: once, when all can read them."""
+        limited = [team for team in self.settings.teams.values()
+                   if team.cpus_max is not None or team.gpus_max is not None]
+        for team in limited:
+            with self.book.lock:
+                usage = self.book.team(team.name)
+                used = {zone: self.book.used(team.name, (zone,)) for zone in self.settings.zones}
+            if usage.shares is None and self.formats.pipelines:
+                self._step({TEAM + team.name: usage.version, QUOTA + team.name: 0,
+                            FORMAT: self.mirror.get(FORMAT)[1]},
+                           [(TEAM + team.name, SPENT, None), (QUOTA + team.name, Shares(0, used).pack(), None)], 0.5)
+                log.info("team %s has shares of its limit in each zone from now on", team.name)
+
+    def give_back(self, team: str) -> bool:
+        """Lower a team's shares in our zones to what is used there; True if that gave others more room."""
+        held = self.held()
+        shares = self.book.team(team).shares
+        if shares is None or team in self._doubtful:
+            return False
+        zones = dict(shares.zones)
+        for zone in held:
+            if zone in zones:
+                zones[zone] = self.book.used(team, (zone,))
+        lower = Shares(0, zones)
+        if lower.total() >= shares.total():
+            return False
+        self._step({QUOTA + team: shares.version, **dict(held.values())}, [(QUOTA + team, lower.pack(), None)], 0.5)
+        return True
+
     def _draft(self, job: Job, new: Job, usage: Usage) -> _Draft | None:
         """The writes that make one job of another, but for its team's record; None if there is nothing to write."""
         if not new.claims and (new.cancelled or new.complete):
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -8,7 +8,7 @@
 import threading
 import time
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 from functools import partial
 
@@ -39,12 +39,14 @@
 )
 from tidebend.service.ledger import Edit, Ledger, packed_bytes
 from tidebend.settings import Settings
-from tidebend.storage import Unavailable, Unknown
+from tidebend.storage import Conflict, Unavailable, Unknown
 
 log = logging.getLogger("planner")
 
 # the planner rests for this many times as long as its last event took
 REST = 12.0
+# ends that aren't urgent take about this share of our changes at the state service
+ENDS_SHARE = 0.25
 
 Key = tuple[str, int, int]  # job, index, attempt
 _Victim = tuple[float, Key, float, Amount, int]  # loss, task, grace, amounts, priority
@@ -102,6 +104,7 @@
         self.book = book
         self.fleet = fleet
         self.ledger = ledger
+        self.formats = ledger.formats
         self.types = types
         self.estimates = Estimates()
         self.setbacks: dict[str, Setback] = {}
@@ -117,6 +120,7 @@
         # an array whose tasks follow one another as room comes up claims no more often than this: each time costs
         self.claim_pause_s = 0.5 * self.gather_s
         self.look_up: Callable[[list[str], str], None] = lambda names, kind: None
+        self._short_since: dict[str, float] = {}  # team -> steady time since which its free share is too small
         self._demands: dict[str, Demand] = {}  # of jobs that others need, and of those
         self._rest_until = 0.0  # steady time
         self._claimed_at: dict[str, float] = {}  # job -> steady time of our last claim for it
@@ -154,6 +158,9 @@
             with contextlib.suppress(Unavailable, Unknown):
                 self.look_up(unresolved, "claim")
         self.settle()
+        if self.coordinator.term is not None and self.formats.pipelines:
+            with contextlib.suppress(Conflict):
+                self.ledger.share_out()
         try:
             began = time.monotonic()
             if began >= self._rest_until:
@@ -193,12 +200,15 @@
         """
         now = time.monotonic()
         due = []
+        # the more jobs there are whose tasks end, the longer they are gathered: other changes need the budget more
+        gather_s = max(self.gather_s, min(self.settings.lease_s,
+                                          len(self._ends) / (ENDS_SHARE * self.ledger.state.writes_per_s)))
         for name, end in self._ends.items():
             job = self.book.get(name)
             if job is None:
                 continue
             since = self._ends_since.setdefault(name, now)
-            if job.spec.kind != "array" or now - since >= self.gather_s or self._is_last(job, end) or (
+            if job.spec.kind != "array" or now - since >= gather_s or self._is_last(job, end) or (
                     now - since >= self.claim_pause_s and self._at_limit(job.spec)):
                 due.append(Edit(name, partial(self._without, end=end), self._conditions(end)))
         if due:
@@ -221,7 +231,7 @@
 
     def _at_limit(self, spec: JobSpec) -> bool:
         team = self.settings.teams.get(spec.team)
-        usage = self.book.team(spec.team)
+        usage = self.book.team(spec.team, self.coordinator.held_zones())
         return team is not None and not team.allows(usage.cpus + spec.cpus, usage.gpus + spec.gpus)
 
     def _without(self, job: Job, _: Usage, end: _Ends) -> Job:
@@ -416,13 +426,14 @@
                 estimate = self.estimates.corrected(before.spec)
                 left = max([left, *(estimate - (clock - claim.at) for claim in before.claims)])
             else:
-                want = self.want(replace(job, held=False, ready=clock + left), now, clock)
+                want = self.want(replace(job, held=False, ready=clock + left), now, clock, everywhere=True)
                 if want is not None:
                     want.not_before = max(want.not_before, clock + left)
                     wants.append(want)
         return wants
 
-    def want(self, job: Job, now: float, clock: float) -> Want | None:
+    def want(self, job: Job, now: float, clock: float, everywhere: bool = False) -> Want | None:
+        """`everywhere`: as far as the team's limit allows in all zones together, not in ours alone."""
         pending = job.pending
         if not pending:
             return None
@@ -431,7 +442,8 @@
         spec = job.spec
         service = spec.kind == "service"
         estimate = self.nominal_s if service else max(self.estimates.corrected(spec), 0.1)
-        usage = self.book.team(spec.team)
+        used = self.book.used(spec.team)
+        usage = Usage(*used) if everywhere else self.book.team(spec.team, self.coordinator.held_zones())
         team = self.settings.teams.get(spec.team)
         headroom = pending.bit_count()
         within = False
@@ -443,8 +455,8 @@
                 headroom = min(headroom, int((team.cpus_max - usage.cpus + 1e-6) // spec.cpus))
             if team.gpus_max is not None and spec.gpus > 0:
                 headroom = min(headroom, int((team.gpus_max - usage.gpus + 1e-6) // spec.gpus))
-            within = usage.cpus + spec.cpus <= team.cpus + 1e-6 and (
-                spec.gpus <= 0 or usage.gpus + spec.gpus <= team.gpus + 1e-6)
+            within = used[0] + spec.cpus <= team.cpus + 1e-6 and (
+                spec.gpus <= 0 or used[1] + spec.gpus <= team.gpus + 1e-6)
         # the steady clock and the time of day meet here: values are of the time of day
         demand = self._demands.get(job.id) or self._own_demand(job, estimate)
         value = value_of(demand, job.since, estimate, within)
@@ -514,8 +526,29 @@
             if placement.now:
                 chosen.setdefault(placement.job, []).append(placement)
         self._claim(chosen, places)
+        self._give_back(jobs.values(), now)
         self._preempt([want for want in wants if want.waiting > 0], places, now, clock)
 
+    def _give_back(self, waiting: Iterable[Job], now: float) -> None:
+        """Shares that we don't use go back when work of their team waits that finds no room in what is free.
+
+        A moment later, since it is we who use them first: our own tasks that end make room for the team's next.
+        """
+        short = set()
+        for job in waiting:
+            limit, usage = self.settings.teams.get(job.spec.team), self.book.team(job.spec.team)
+            if limit is not None and usage.shares is not None:
+                total = usage.shares.total()
+                if not limit.allows(total[0] + job.spec.cpus, total[1] + job.spec.gpus):
+                    short.add(job.spec.team)
+        for team in [team for team in self._short_since if team not in short]:
+            del self._short_since[team]
+        for team in short:
+            if now - self._short_since.setdefault(team, now) > self.claim_pause_s:
+                self._short_since[team] = now
+                with contextlib.suppress(Conflict):
+                    self.ledger.give_back(team)
+
     def _claim(self, chosen: dict[str, list[Placement]], places: dict[str, tuple[Place, Machine, Grant]]) -> None:
         at = time.time()
         edits = []
