--- a/tidebend/scheduling/__init__.py
+++ b/tidebend/scheduling/__init__.py
@@ -313,7 +313,8 @@
     usable.sort(key=lambda place: (place.fetch_s(want.spec), place.name))
     groups: list[list[Place]] = [usable]
     if want.spec.one_zone:
-        groups = [[place for place in usable if place.zone == zone] for zone in sorted({p.zone for p in usable})]
+        groups = [[place for place in usable if place.zone == zone] for zone in sorted({p.zone for p in usable})
+                  if want.zone_room(zone) > 0]
     for start in starts:
         for group in groups:
             found: list[tuple[Place, int, float]] = []
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -329,6 +329,9 @@
         since = machine.running_since.get(key)
         if since is not None:
             left = estimate - (now - since)
+        elif job.spec.kind == "gang" and job.pending:
+            # it waits for others of its gang: their replacements don't wait for its end
+            left = estimate + self.settings.gang_wait_s
         else:
             fetch = 0.0 if job.spec.image in machine.images else kind.fetch_s(job.spec.image_gb)
             left = estimate + max(0.0, fetch - (clock - claim.at))
@@ -437,7 +440,7 @@
         pending = job.pending
         if not pending:
             return None
-        if job.spec.kind == "gang" and job.claims:
+        if job.spec.kind == "gang" and job.claims and not self._still_gathers(job, clock):
             return None  # the attempt before it must be over: a gang starts whole
         spec = job.spec
         service = spec.kind == "service"
@@ -467,6 +470,27 @@
                     largest_share(spec, list(self.types().values())),
                     spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()))
 
+    def _still_gathers(self, job: Job, clock: float) -> bool:
+        """Whether a gang's attempt hasn't begun to run, so that replacements for lost tasks complete it.
+
+        All its machines must be ours to know that, and a replacement must have its image while the others wait.
+        """
+        fetch = max((kind.fetch_s(job.spec.image_gb) for kind in self.types().values() if kind.fits(job.spec)),
+                    default=0.0)
+        held = self.coordinator.held_zones()
+        for claim in job.claims:
+            if claim.zone not in held or claim.attempt != job.claims[0].attempt:
+                return False
+            with self.fleet.lock:
+                machine = self.fleet.machines.get(claim.machine)
+                if machine is None or machine.session != claim.session:
+                    return False
+                for index in members(claim.tasks):
+                    task = machine.tasks.get((job.id, index, claim.attempt))
+                    if task is not None and task.state not in ("fetching", "waiting"):
+                        return False
+        return clock + fetch - min(claim.at for claim in job.claims) < self.settings.gang_wait_s
+
     def _turn(self, job: Job, block: str, blocks: list[str], now: float, round_: int) -> float:
         """Seconds until this block may take a job's tasks: holders take turns, so as not to collide.
 
@@ -579,8 +603,12 @@
         spec = job.spec
         team = self.settings.teams.get(spec.team)
         gang = spec.kind == "gang"
-        if gang and (job.claims or sum(p.tasks for p in group) != pending.bit_count()):
+        if gang and sum(p.tasks for p in group) != pending.bit_count():
+            return None
+        if gang and job.claims and not self._still_gathers(job, at):
             return None
+        # replacements have the attempt of those that wait for them
+        attempt = job.claims[0].attempt if gang and job.claims else job.started + 1
         want = Want(job.id, spec, value_of(Demand(0), 0, 1), 1, pending.bit_count(), job.per_zone())
         claims = []
         for placement in group:
@@ -588,12 +616,14 @@
             tasks = lowest(pending, min(placement.tasks, want.zone_room(machine.zone)))
             if not tasks:
                 continue
+            if attempt <= job.started and any((job.id, index, attempt) in machine.tasks for index in members(tasks)):
+                return None  # it would not be started a second time
             usage = usage.plus(spec, tasks.bit_count())
             if team is not None and not team.allows(usage.cpus, usage.gpus):
                 break
             want.zones[machine.zone] = want.zones.get(machine.zone, 0) + tasks.bit_count()
             pending &= ~tasks
-            claims.append(Claim(machine.name, machine.session, job.started + 1, tasks, at, machine.zone))
+            claims.append(Claim(machine.name, machine.session, attempt, tasks, at, machine.zone))
         if not claims or (gang and pending):
             return None
         new = job.with_claims(claims)
