Parts are compared as the job was read: a newer version hid another holder's claim

Ruled out: splits (parts are conditional on the record they come from), shares (they bound amounts, not tasks). Also: rentals wait for only half of the spare time.

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -13,6 +13,7 @@
 from tidebend.bookkeeping.jobs import JOB as JOB_KEY
 from tidebend.bookkeeping.jobs import Job
 from tidebend.bookkeeping.machines import Machine, orders
+from tidebend.bookkeeping.parts import Parts
 from tidebend.coordination import block_of
 from tidebend.protocol import MachineType, Report, TaskReport, parse_job
 from tidebend.provisioning import Offer, Rental
@@ -57,13 +58,18 @@
 def stale_pair(world, **jobs):
     """Two controllers that know some jobs; from here on neither hears of the other's writes by itself."""
     for name, made in jobs.items():
-        world.state.transact({"if": [], "writes": [{"put": JOB_KEY + name, "v": Job(name, 0, made, 0.0).pack()}]})
+        job = made if isinstance(made, Job) else Job(name, 0, made, 0.0)
+        world.state.transact({"if": [], "writes": [{"put": job.key, "v": job.pack()}]})
     pair = [world.controllers["n0"], world.controllers["n1"]]
     for controller in pair:
         controller.mirror.catch_up(0.0, "claim")
     return pair
 
 
+def in_parts(made, name="a"):
+    return Job(name, 0, made, 0.0, parts=Parts(40))
+
+
 def claim(controller, name, machine, tasks, conditions=None):
     def edit(job, usage):
         free = job.pending & tasks
@@ -244,6 +250,24 @@
     assert max(changes for changes, _ in largest) <= 4 and max(size for _, size in largest) <= 600
 
 
+def test_a_part_is_compared_as_it_was_when_the_job_was_read(world):
+    """The watch brings another holder's claim while ours is being made: it must not be overwritten."""
+    first, second = stale_pair(world, a=in_parts(spec(pieces=100, vcpus=0.0, memoryGb=0.0)))
+    assert claim(first, "a", "vm-000000", 0b1) is not None
+    second.mirror.catch_up(0.0, "claim")
+
+    def edit(job, usage):
+        if first.book.get("a").claimed == 0b1:  # only once
+            assert claim(second, "a", "vm-000001", 0b10) is not None
+            first.mirror.catch_up(0.0, "claim")
+        free = job.pending & 0b110
+        return job.with_claims([Claim("vm-000002", 1, job.started + 1, free, 0.0, "north")])
+
+    assert first.ledger.change("a", edit, {})
+    held = {claim.machine: claim.tasks for claim in first.book.get("a").claims}
+    assert held == {"vm-000000": 0b1, "vm-000001": 0b10, "vm-000002": 0b100}
+
+
 # A team's record counts claims, the jobs' records count ends
 
 def test_usage_is_what_the_claims_take_through_claims_ends_and_the_end_of_a_job(old_world):
--- a/tidebend/provisioning/__init__.py
+++ b/tidebend/provisioning/__init__.py
@@ -10,6 +10,9 @@
 
 # estimates are often wrong by half: count on tasks that take that much longer
 WRONG_BY = 1.5
+# of the time until tasks must begin at the latest, this share may pass while they wait for others to end: these, too,
+# take longer than estimated, and others come meanwhile
+SPARE = 0.5
 
 
 @dataclass(slots=True)
@@ -83,7 +86,9 @@
         if ready_in > boot_s:
             continue  # it waits for others, and a machine would be up before they are done
         missing = min(_side_by_side(want, now), want.headroom, want.waiting)
-        slack = max(0.0, want.value.soft - now - WRONG_BY * want.estimate) if not want.service else 0.0
+        slack = 0.0
+        if not want.service:
+            slack = max(0.0, min(SPARE * (want.value.soft - now - WRONG_BY * want.estimate), want.start_by - now))
         fitting = {kind.name for kind in {capacity.type for capacity in capacities}
                    if kind.fits(want.spec) and not (want.keeps_off_gpus and kind.gpus > 0)}
         for capacity in capacities:
--- a/tidebend/service/ledger.py
+++ b/tidebend/service/ledger.py
@@ -348,7 +348,7 @@
 
     def _over(self, job: Job, new: Job, usage: Usage) -> _Draft | None:
         """The last transaction of a job that is done or cancelled. Told to be cancelled, it stays so."""
-        known = self.book.part_versions(job.id)
+        known = self._part_versions(job)
         if job.parts and job.parts.unknown:
             return None
         room = self.most_writes - 3
@@ -363,7 +363,7 @@
 
     def _closed(self, job: Job, new: Job, numbers: list[int], usage: Usage) -> _Draft:
         """Parts of a job that is over are deleted ahead of it: they are more than one transaction takes."""
-        known = self.book.part_versions(job.id)
+        known = self._part_versions(job)
         checks = {job.key: job.version, **{_part_key(job.id, number): known[number] for number in numbers}}
         writes: list[Write] = [(_part_key(job.id, number), None, None) for number in numbers]
         if job.parts:
@@ -375,11 +375,21 @@
             writes.append((job.key, job.pack(), None))
         return _Draft(job, checks, writes, usage)
 
+    def _part_versions(self, job: Job) -> dict[int, int]:
+        """The versions of a job's parts, and of abandoned ones that nothing refers to.
+
+        Guards against lost updates: an open part's version is the one from which this very job was read, not one that
+        the watch has brought since. (That a part is still not open is for the head's version to say.)
+        """
+        known = self.book.part_versions(job.id)
+        known.update((number, part.version) for number, part in (job.parts.rows if job.parts else ()))
+        return known
+
     def _in_parts(self, job: Job, new: Job, usage: Usage) -> _Draft | None:
         """Of a change over many parts, the first few are written; the others are made again at the next event."""
         parts = job.parts
         assert parts is not None
-        known = self.book.part_versions(job.id)
+        known = self._part_versions(job)
         numbers = new.touched(job)
         whole = job.spec.kind == "gang" and new.running > job.running
         if not whole:
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -468,6 +468,7 @@
                     not service and is_reserved(value, clock),
                     clock + max(0.0, setback.not_before - now) if setback else 0.0,
                     largest_share(spec, list(self.types().values())),
+                    job.since + self.settings.start_aims.get(spec.job_class, math.inf),
                     spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()))
 
     def _still_gathers(self, job: Job, clock: float) -> bool:
