--- a/tidebend/service/users.py
+++ b/tidebend/service/users.py
@@ -123,7 +123,7 @@
                 return unsure("not all controllers know pipelines yet")
             job = self.ledger.new_job(Job(name, 0, spec, came, awaits=awaits))
             if awaits and packed_bytes(awaits) > AWAITS_SHARE * self.ledger.value_bytes:
-                return Reply(400, {"error": "awaits names more jobs than a record holds"})
+                return self.find(name) or Reply(400, {"error": "awaits names more jobs than a record holds"})
             never = (self._undecidable(spec) or (self.formats.pipelines and self.ledger.never_fits(job))
                      or self._never_accepted(awaits))
             if never:
