--- a/tidebend/service/ledger.py
+++ b/tidebend/service/ledger.py
@@ -92,7 +92,7 @@
                  held: Callable[[], dict[str, tuple[str, int]]]) -> None:
         self.settings = settings
         self.held = held  # the zones whose blocks are ours, with the conditions that they still are
-        self._doubtful: set[str] = set()  # teams with claims that may be executed yet
+        self._doubtful: dict[str, object] = {}  # teams with claims that may be executed yet -> the last of them
         self.state = state
         self.mirror = mirror
         self.book = book
@@ -185,7 +185,7 @@
                 continue
             except Unknown:
                 # may have happened, or may still: a read shows which, and a later arrival fails on its conditions
-                self._doubtful.update(team for team, _ in batch.added)
+                self._doubtful.update((team, object()) for team, _ in batch.added)
                 self.mirror.barrier(self.state.timeout, "claim")
                 raise
             except NoSuchLease as error:
@@ -291,14 +291,17 @@
 
         Writing them anew ends that: it was conditional on the shares as they were. What happened before is read.
         """
-        for team in sorted(self._doubtful):
+        doubts = dict(self._doubtful)
+        for team in sorted(doubts):
             shares = self.book.team(team).shares
             if shares:
                 with contextlib.suppress(Conflict):  # they have been written since: just as well
                     self._step({QUOTA + team: shares.version}, [(QUOTA + team, shares.pack(), None)], patience)
         if not self.mirror.barrier(self.state.timeout, "claim"):
             raise Unavailable("no read after a claim without an answer")
-        self._doubtful.clear()
+        for team, claim in doubts.items():
+            if self._doubtful.get(team) is claim:  # else there has been another meanwhile
+                del self._doubtful[team]
 
     def share_out(self) -> None:
         """Give limited teams shares instead of a common record, from what they use: once, when all can read them."""
