--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -189,6 +189,17 @@
     assert machine.can_no_longer_start(key)  # until a higher token is confirmed
 
 
+def test_a_task_that_was_stopped_before_it_started_is_not_started_while_its_end_waits_to_be_recorded():
+    """Seen as ran_twice on a day: a report came between the proof that it is not there and the record of its end."""
+    key = ("req-a", 0, 1)
+    machine = machine_with()
+    machine.stops[key] = 0.0
+    assert machine.can_no_longer_start(key)  # from here on its end may be recorded, and it may be claimed elsewhere
+    machine.hears(Report("vm-000000", None, "box", "north", False, 2, 8, 5, None, ()), 1.0, direct=False)
+    assert ops(machine, held()) == [] and key in machine.stops
+    assert ops(machine, []) == [] and not machine.stops  # its end is recorded: nothing is kept for it
+
+
 def test_an_answer_to_direct_commands_shows_that_a_machine_lives_for_a_lease_at_most(world):
     rentals = world.controllers["n0"].rentals
     assert rentals._silent_since(machine_with(heard=50.0, answered=55.0), 52.0) == 55.0
--- a/tidebend/bookkeeping/machines.py
+++ b/tidebend/bookkeeping/machines.py
@@ -78,9 +78,8 @@
         for key in [key for key, (token, _) in self.doubtful.items() if token < self.token]:
             del self.doubtful[key]  # an older command is refused from now on
         self.observed &= self.tasks.keys()
-        for table in (self.running_since, self.stops):
-            for key in [key for key in table if key not in self.tasks and key not in self.sent]:
-                del table[key]
+        for key in [key for key in self.running_since if key not in self.tasks]:
+            del self.running_since[key]
         return True
 
     def can_no_longer_start(self, key: tuple[str, int, int]) -> bool:
@@ -162,6 +161,10 @@
                 grace = 0.0 if job.cancelled else machine.stops.get(key)
                 if grace is not None and not (task.state == "saving" and grace > 0):
                     commands.append(Command("stop", *key, grace))
+    # What is to stop stays so for as long as it is claimed: that it hasn't been started may have been taken for its end
+    # already, and a start would then run it beside the one that takes its place.
+    for key in [key for key in machine.stops if key not in claimed and key not in machine.tasks]:
+        del machine.stops[key]
     for key, task in machine.tasks.items():
         if key not in claimed:
             # no claim: its end is recorded, or it never had one; in neither case is it of use to anybody
