--- a/tidebend/scheduling/__init__.py
+++ b/tidebend/scheduling/__init__.py
@@ -222,7 +222,6 @@
     reserved: bool = False  # past its soft deadline: keeps a standing reservation
     not_before: float = 0.0
     share: float = 1.0  # the largest of a machine that a task takes
-    guaranteed: int = 0  # tasks that still fit into the team's guarantee
     start_by: float = math.inf  # time of day by which its tasks should have started, by an aim of its class
     keeps_off_gpus: bool = False  # it can run without them, and so leaves them to those that can't
 
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -449,7 +449,7 @@
         usage = Usage(*used) if everywhere else self.book.team(spec.team, self.coordinator.held_zones())
         team = self.settings.teams.get(spec.team)
         headroom = pending.bit_count()
-        guaranteed = 0
+        within = False
         end = self._ends.get(job.id)
         if end is not None:
             usage = usage.freed(spec, job.running - job.without(end.ended, 0).running)
@@ -458,18 +458,17 @@
                 headroom = min(headroom, int((team.cpus_max - usage.cpus + 1e-6) // spec.cpus))
             if team.gpus_max is not None and spec.gpus > 0:
                 headroom = min(headroom, int((team.gpus_max - usage.gpus + 1e-6) // spec.gpus))
-            sizes = ((team.cpus, used[0], spec.cpus), (team.gpus, used[1], spec.gpus))
-            guaranteed = min([pending.bit_count(), *(max(0, int((most - taken + 1e-6) // need))
-                                                     for most, taken, need in sizes if need > 0)])
+            within = used[0] + spec.cpus <= team.cpus + 1e-6 and (
+                spec.gpus <= 0 or used[1] + spec.gpus <= team.gpus + 1e-6)
         # the steady clock and the time of day meet here: values are of the time of day
         demand = self._demands.get(job.id) or self._own_demand(job, estimate)
-        value = value_of(demand, job.since, estimate, guaranteed > 0)
+        value = value_of(demand, job.since, estimate, within)
         setback = self.setbacks.get(job.id)
         return Want(job.id, spec, value, estimate, pending.bit_count(), job.per_zone(), headroom,
                     not service and is_reserved(value, clock),
                     clock + max(0.0, setback.not_before - now) if setback else 0.0,
                     largest_share(spec, list(self.types().values())),
-                    guaranteed, job.since + self.settings.start_aims.get(spec.job_class, math.inf),
+                    job.since + self.settings.start_aims.get(spec.job_class, math.inf),
                     spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()))
 
     def _still_gathers(self, job: Job, clock: float) -> bool:
@@ -639,25 +638,19 @@
 
     def _preempt(self, waiting: list[Want], places: dict[str, tuple[Place, Machine, Grant]], now: float,
                  clock: float) -> None:
-        """Stop what loses least, for waiting work that finds no room now: for services tasks of a lower priority, for
-        work within its team's guarantee what other teams run beyond theirs.
-
-        The latter waits for half a worker's lease first: tasks end by themselves, and what is stopped is run again.
-        """
+        """Stop what loses least, for waiting work of a higher priority that finds no room now."""
         blocks = sorted(self.coordinator.table())
         mine = {block_of(place.zone) for place, _, _ in places.values()}
         candidates: list[_Candidate] | None = None
         for want in waiting:
             rank = PRIORITIES.index(want.spec.priority)
-            if want.gang or not (want.service or want.guaranteed) or want.headroom < 1:
+            if rank == 0 or want.gang or not want.service or want.headroom < 1:
                 continue
             seen = self._waiting_since.get(want.job)
             # every holder has had its turn to place it without stopping anything; they take turns at that, too
             order = _order(want.job, blocks)
             rank_of = min((order.index(block) for block in mine), default=0)
             wait = (2 * len(blocks) + 1) * self.turn_s + rank_of * self.settings.report_s
-            if not want.service:
-                wait += 0.5 * self.settings.lease_s
             if now < self._making_room.get(want.job, 0.0):
                 continue
             if seen is None or now - seen[1] < wait or want.not_before > clock:
@@ -677,24 +670,22 @@
         rooms = {place.zone: want.zone_room(place.zone) for place, *_ in candidates}
         allowed: dict[tuple[str, str, bool], bool] = {}
         found = []
-        borrowed = None if want.service else self._borrowed(want.spec.team)
-        most = min(want.waiting, want.headroom) if want.service else min(want.guaranteed, want.waiting, want.headroom)
         for number, (place, _, free, victims) in enumerate(candidates):
             kind = (place.type.name, place.zone, place.spot)
             if kind not in allowed:
                 # where it may be placed, no other: GPU machines were cleared for replicas that then kept off them
                 allowed[kind] = allowed_on(want, place)
             if allowed[kind] and rooms[place.zone] > 0:
-                cost = self._cheapest(free, victims, need, rank, borrowed)
+                cost = self._cheapest(free, victims, need, rank)
                 if cost is not None:
                     # room where the image is at hand is used at once; a fetch often takes longer than the aim allows
                     found.append((place.fetch_s(want.spec), cost[0], number, cost[1]))
         used = set()
         for _, lost, number, keys in sorted(found):
             place, machine, *_ = candidates[number]
-            if len(used) >= most:
+            if len(used) >= min(want.waiting, want.headroom):
                 break
-            if rooms[place.zone] < 1 or (borrowed is not None and not self._takes_back(keys, borrowed)):
+            if rooms[place.zone] < 1:
                 continue
             rooms[place.zone] -= 1
             used.add(number)
@@ -724,54 +715,20 @@
                     grace = 0.0
                     if job.spec.checkpoint_s > 0:
                         grace, ran = job.spec.save_s * 1.5, min(ran, job.spec.save_s)
-                    demand = self._demands.get(job.id)
-                    priority = demand.rank if demand else PRIORITIES.index(job.spec.priority)
-                    victims.append((ran * amount[0], key, grace, amount, priority))
+                    victims.append((ran * amount[0], key, grace, amount, PRIORITIES.index(job.spec.priority)))
         return tuple(free), sorted(victims)
 
-    def _borrowed(self, but: str) -> dict[str, float]:
-        """CPUs that other teams use beyond their guarantees, and may have to give back."""
-        found = {}
-        for team in self.settings.teams.values():
-            beyond = self.book.used(team.name)[0] - team.cpus
-            if team.name != but and beyond > 0:
-                found[team.name] = beyond
-        return found
-
-    def _cheapest(self, free: Amount, victims: list[_Victim], need: Amount, rank: int,
-                  borrowed: dict[str, float] | None) -> tuple[float, list[tuple[Key, float]]] | None:
-        """The stops that make room for one task on a machine, with what they lose.
-
-        Tasks of a lower priority; or, with `borrowed`, of teams that are beyond their guarantees, unless they would
-        come first again once they are stopped. No team is brought below its guarantee for another's.
-        """
+    @staticmethod
+    def _cheapest(free: Amount, victims: list[_Victim], need: Amount,
+                  rank: int) -> tuple[float, list[tuple[Key, float]]] | None:
+        """The stops that make room for one task on a machine, with what they lose."""
         lost = 0.0
-        left = dict(borrowed or {})
         keys: list[tuple[Key, float]] = []
         for cost, key, grace, amount, priority in victims:
             if times_fit(free, need):
                 break
-            if borrowed is None:
-                if priority >= rank:
-                    continue
-            else:
-                job = self.book.get(key[0])
-                if job is None or priority > rank or not 0 < amount[0] <= left.get(job.spec.team, 0.0):
-                    continue
-                left[job.spec.team] -= amount[0]
-            lost += cost
-            keys.append((key, grace))
-            free = (free[0] + amount[0], free[1] + amount[1], free[2] + amount[2])
+            if priority < rank:
+                lost += cost
+                keys.append((key, grace))
+                free = (free[0] + amount[0], free[1] + amount[1], free[2] + amount[2])
         return (lost, keys) if keys and times_fit(free, need) else None
-
-    def _takes_back(self, keys: list[tuple[Key, float]], borrowed: dict[str, float]) -> bool:
-        """Count stops against what is borrowed; False if less than that is left."""
-        left = dict(borrowed)
-        for key, _ in keys:
-            job = self.book.get(key[0])
-            if job is not None:
-                left[job.spec.team] = left.get(job.spec.team, 0.0) - job.spec.cpus
-        if min(left.values(), default=0.0) < 0:
-            return False
-        borrowed.update(left)
-        return True
