After a reread: shares looked at once, no scan over teams for each want, fewer steps in parts

The leader no longer adds up every team's usage at each event once it has shares; what a team uses is looked up by team; the zones that are ours are collected once an event, not for each want; closed parts are counted from their bitmap.

--- a/tidebend/bookkeeping/book.py
+++ b/tidebend/bookkeeping/book.py
@@ -56,7 +56,7 @@
         self._parts: dict[str, dict[int, _PartRecord]] = {}
         self._charged: dict[str, tuple[float, float, int]] = {}  # team -> its record and the record's version
         self._shares: dict[str, Shares] = {}
-        self._used: dict[tuple[str, str], list[float]] = {}  # team and zone -> what its claims there take
+        self._used: dict[str, dict[str, list[float]]] = {}  # team -> zone -> what its claims there take
         self._ended: dict[str, list[float]] = {}  # team -> what its live jobs' ended claims took
         self._finals: OrderedDict[str, Final] = OrderedDict()
         self._keep_finals = keep_finals
@@ -158,7 +158,7 @@
             return
         self._count_ended(job, sign)
         for claim in job.claims:
-            used = self._used.setdefault((job.spec.team, claim.zone), [0.0, 0.0])
+            used = self._used.setdefault(job.spec.team, {}).setdefault(claim.zone, [0.0, 0.0])
             tasks = sign * claim.tasks.bit_count()
             used[0] = amount(used[0] + tasks * job.spec.cpus)
             used[1] = amount(used[1] + tasks * job.spec.gpus)
@@ -232,10 +232,13 @@
     def used(self, team: str, zones: Iterable[str] | None = None) -> Amounts:
         """What a team's claims take, everywhere or in some zones."""
         with self.lock:
-            rows = [row for (name, zone), row in self._used.items()
-                    if name == team and (zones is None or zone in zones)]
+            rows = [row for zone, row in self._used.get(team, {}).items() if zones is None or zone in zones]
             return sum(row[0] for row in rows), sum(row[1] for row in rows)
 
+    def has_shares(self, team: str) -> bool:
+        with self.lock:
+            return team in self._shares
+
     def team(self, name: str, zones: Iterable[str] = ()) -> Usage:
         """A team's usage as who holds these zones may act on it."""
         with self.lock:
--- a/tidebend/service/ledger.py
+++ b/tidebend/service/ledger.py
@@ -13,7 +13,6 @@
 from tidebend.bookkeeping.book import JobBook, pack_final
 from tidebend.bookkeeping.jobs import HEAD, Job
 from tidebend.bookkeeping.parts import PART, Parts, part_size
-from tidebend.bookkeeping.tasksets import members
 from tidebend.bookkeeping.teams import QUOTA, SPENT, TEAM, Amounts, Shares, Usage
 from tidebend.coordination.formats import FORMAT, Formats
 from tidebend.protocol import Write
@@ -279,9 +278,7 @@
         if all(_within(needs[zone], zones.get(zone, have), limit) for zone in grown):
             return checks, []
         # what lies unused in our own zones serves first, then what is free; a part of that is taken ahead
-        for zone in needs:
-            if zone in held or zone in grown:
-                zones[zone] = needs[zone]
+        zones.update(needs)
         total = Shares(0, zones).total()
         if not limit.allows(*total):
             return None
@@ -311,17 +308,17 @@
 
     def share_out(self) -> None:
         """Give limited teams shares instead of a common record, from what they use: once, when all can read them."""
-        limited = [team for team in self.settings.teams.values()
-                   if team.cpus_max is not None or team.gpus_max is not None]
-        for team in limited:
+        if not self.formats.pipelines:
+            return
+        for team in self.settings.teams.values():
+            if (team.cpus_max is None and team.gpus_max is None) or self.book.has_shares(team.name):
+                continue
             with self.book.lock:
                 usage = self.book.team(team.name)
                 used = {zone: self.book.used(team.name, (zone,)) for zone in self.settings.zones}
-            if usage.shares is None and self.formats.pipelines:
-                self._step({TEAM + team.name: usage.version, QUOTA + team.name: 0,
-                            FORMAT: self.mirror.get(FORMAT)[1]},
-                           [(TEAM + team.name, SPENT, None), (QUOTA + team.name, Shares(0, used).pack(), None)], 0.5)
-                log.info("team %s has shares of its limit in each zone from now on", team.name)
+            self._step({TEAM + team.name: usage.version, QUOTA + team.name: 0, FORMAT: self.mirror.get(FORMAT)[1]},
+                       [(TEAM + team.name, SPENT, None), (QUOTA + team.name, Shares(0, used).pack(), None)], 0.5)
+            log.info("team %s has shares of its limit in each zone from now on", team.name)
 
     def give_back(self, team: str) -> bool:
         """Lower a team's shares in our zones to what is used there; True if that gave others more room."""
@@ -403,7 +400,6 @@
         whole = job.spec.kind == "gang" and new.running > job.running
         if not whole:
             numbers = numbers[:max(1, self.most_writes - 2)]  # the head's record and the team's come on top
-        head = replace(new, parts=parts)
         rows = dict(parts.rows)
         checks = {job.key: job.version}
         writes: list[Write] = []
@@ -426,9 +422,8 @@
                 size += bytes_
                 writes.append((key, value, None))
             rows[number] = part
-        opened = parts.opened | sum(1 << number for number in numbers if number not in over)
-        head = replace(head, parts=replace(parts, opened=opened | sum(1 << number for number in over),
-                                           rows=tuple(sorted(rows.items()))))
+        opened = parts.opened | sum(1 << number for number in numbers)
+        head = replace(new, parts=replace(parts, opened=opened, rows=tuple(sorted(rows.items()))))
         if over:
             head = head.without_parts(over)
         assert head.parts is not None
@@ -471,9 +466,8 @@
             if size == 1 or largest <= CLAIMS_SHARE * self.value_bytes:
                 break
             size = max(1, size // 2)
-        head = replace(whole, parts=replace(parts, opened=sum(1 << number for number in rows), closed=closed))
-        if head.cancelled:
-            head = replace(head, parts=replace(head.parts, closed=0))
+        opened = sum(1 << number for number in rows)
+        head = replace(whole, parts=replace(parts, opened=opened, closed=0 if job.cancelled else closed))
         writes: list[Write] = [(_part_key(name, number), part.pack(number * parts.size), None)
                                for number, part in rows.items() if sources.get(number) != job.version]
         try:
@@ -486,7 +480,7 @@
         except Conflict:
             self.mirror.barrier(self.state.timeout, "claim")
             return False
-        log.info("job %s is kept in %d parts from now on", name, len(rows) + len(list(members(closed))))
+        log.info("job %s is kept in %d parts from now on", name, len(rows) + closed.bit_count())
         return True
 
     def _step(self, checks: dict[str, int], writes: list[Write], patience: float) -> None:
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -104,7 +104,6 @@
         self.book = book
         self.fleet = fleet
         self.ledger = ledger
-        self.formats = ledger.formats
         self.types = types
         self.estimates = Estimates()
         self.setbacks: dict[str, Setback] = {}
@@ -158,7 +157,7 @@
             with contextlib.suppress(Unavailable, Unknown):
                 self.look_up(unresolved, "claim")
         self.settle()
-        if self.coordinator.term is not None and self.formats.pipelines:
+        if self.coordinator.term is not None:
             with contextlib.suppress(Conflict):
                 self.ledger.share_out()
         try:
@@ -429,14 +428,14 @@
                 estimate = self.estimates.corrected(before.spec)
                 left = max([left, *(estimate - (clock - claim.at) for claim in before.claims)])
             else:
-                want = self.want(replace(job, held=False, ready=clock + left), now, clock, everywhere=True)
+                want = self.want(replace(job, held=False, ready=clock + left), now, clock)
                 if want is not None:
                     want.not_before = max(want.not_before, clock + left)
                     wants.append(want)
         return wants
 
-    def want(self, job: Job, now: float, clock: float, everywhere: bool = False) -> Want | None:
-        """`everywhere`: as far as the team's limit allows in all zones together, not in ours alone."""
+    def want(self, job: Job, now: float, clock: float, zones: Iterable[str] | None = None) -> Want | None:
+        """As far as the team's limit allows in these zones, which are ours; None: in all zones together."""
         pending = job.pending
         if not pending:
             return None
@@ -446,7 +445,7 @@
         service = spec.kind == "service"
         estimate = self.nominal_s if service else max(self.estimates.corrected(spec), 0.1)
         used = self.book.used(spec.team)
-        usage = Usage(*used) if everywhere else self.book.team(spec.team, self.coordinator.held_zones())
+        usage = Usage(*used) if zones is None else self.book.team(spec.team, zones)
         team = self.settings.teams.get(spec.team)
         headroom = pending.bit_count()
         within = False
@@ -530,8 +529,9 @@
         blocks = sorted(self.coordinator.table())
         wants = []
         mine = {block_of(place.zone) for place, _, _ in places.values()}
+        held = self.coordinator.held_zones()
         for job in jobs.values():
-            want = self.want(job, now, clock)
+            want = self.want(job, now, clock, held)
             if want is None:
                 continue
             need = need_of(job.spec)
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -391,8 +391,7 @@
             if name not in heard:
                 ready = max(1.0, kind.boot_s - (now - known.since))
             capacities.append(Capacity(kind, known.zone, known.spot, tuple(free), ready, returns))
-        wants = [want for want in (self.planner.want(job, now, clock, everywhere=True)
-                                  for job in self.book.live()) if want]
+        wants = [want for want in (self.planner.want(job, now, clock) for job in self.book.live()) if want]
         wants += self.planner.soon(now, clock)
         offers = [Offer(kind, zone, spot) for kind in self.types.values() for zone in kind.zones if zone not in cut
                   for spot in (True, False) if self._shortage.get(Offer(kind, zone, spot), 0.0) < now]
