An embedded state service, durable, and servers that ask for a key

Need: nobody can try tidebend without the platform's state service; and agents run commands, so that every interface of the new mode has to ask who comes.

Change: package store: the protocol's keys, transactions, leases and changes over one SQLite file; one thread writes, several transactions in one sync; a change is answered once it would survive a power cut. Package access: a keyring that is rotated with an overlap, a server that reads a body only after the key was found good, and keeps silent or slow connections from keeping others out. Hooks for both in transport and service. A release of machines may be answered with those that are certainly gone (409, never by the platform's cloud). Schemas by msgspec. Nothing of it is imported by run; a test sees to that.

--- /dev/null
+++ b/tests/test_access.py
@@ -0,0 +1,119 @@
+"""Who gets in: keys and their rotation, and those who keep connections busy without one."""
+
+import os
+import socket
+import threading
+import time
+
+import pytest
+
+from tidebend.access import BadKeys, Gate, KeyedClient, Keyring, NotLoopback, loopback, make_ring, rotate_ring
+from tidebend.transport import HttpClient, Reply
+
+
+@pytest.fixture
+def door(tmp_path):
+    make_ring(tmp_path / "keys")
+    ring = Keyring(tmp_path / "keys")
+    served = []
+
+    def route(method, path, body):
+        served.append((method, path, body()))
+        return Reply(200, {"n": len(served)})
+
+    gate = Gate(("127.0.0.1", 0), route, ring, idle_s=20.0, body_s=1.0, most=40)
+    threading.Thread(target=gate.serve_forever, daemon=True).start()
+    gate.served = served
+    yield gate
+    gate.shutdown()
+    gate.server_close()
+
+
+def client(gate, shown=None):
+    return KeyedClient(gate.server_address[:2], shown or gate.ring.shown)
+
+
+def raw(gate, text):
+    stream = socket.create_connection(gate.server_address[:2], timeout=10.0)
+    stream.sendall(text.encode())
+    return stream
+
+
+def test_the_right_key_gets_in_and_nothing_else(door, caplog):
+    assert client(door).request("POST", "/x", {"a": 1}) == (200, {"n": 1})
+    right = door.ring.shown()
+    for wrong in ("", "x", right[:-1], right + "x", right.partition(".")[2], right.partition(".")[0] + ".", "\xe9"):
+        assert client(door, lambda wrong=wrong: wrong).request("POST", "/x", {"a": 1})[0] == 401
+    assert HttpClient(door.server_address[:2]).request("POST", "/x", {"a": 1})[0] == 401
+    assert len(door.served) == 1
+    assert "turned away" in caplog.text and right not in caplog.text
+
+
+def test_a_rotation_stops_nothing(door):
+    path = door.ring.path
+    old = door.ring.shown()
+    rotate_ring(path, overlap_s=1.5)
+    deadline = time.monotonic() + 5.0
+    while door.ring.shown() == old and time.monotonic() < deadline:
+        time.sleep(0.05)
+    assert client(door).request("GET", "/new")[0] == 200
+    assert client(door, lambda: old).request("GET", "/old")[0] == 200
+    time.sleep(1.6)
+    assert client(door, lambda: old).request("GET", "/old")[0] == 401
+    assert client(door).request("GET", "/new")[0] == 200
+
+
+def test_a_file_that_others_can_read_is_refused(tmp_path):
+    make_ring(tmp_path / "keys")
+    assert os.stat(tmp_path / "keys").st_mode & 0o777 == 0o600
+    with pytest.raises(BadKeys, match="is there already"):
+        make_ring(tmp_path / "keys")
+    os.chmod(tmp_path / "keys", 0o644)
+    with pytest.raises(BadKeys, match="others can read"):
+        Keyring(tmp_path / "keys")
+
+
+def test_a_file_that_breaks_leaves_the_known_keys_in_force(door):
+    door.ring.path.write_text("{")
+    time.sleep(0.6)
+    assert client(door).request("GET", "/x")[0] == 200
+
+
+def test_connections_that_say_nothing_keep_nobody_out(door):
+    silent = [raw(door, "") for _ in range(1000)]
+    try:
+        assert client(door).request("GET", "/x")[0] == 200
+    finally:
+        for stream in silent:
+            stream.close()
+
+
+def test_a_body_that_comes_byte_by_byte_is_cut_off(door):
+    head = f"POST /x HTTP/1.1\r\nAuthorization: Bearer {door.ring.shown()}\r\nContent-Length: 1000\r\n\r\n"
+    slow = raw(door, head)
+    began = time.monotonic()
+    with pytest.raises(OSError):
+        for _ in range(200):
+            slow.sendall(b"x")
+            time.sleep(0.05)
+    # each byte came in time; the whole did not
+    assert time.monotonic() - began < 8.0
+    assert client(door).request("GET", "/x")[0] == 200
+
+
+def test_a_body_without_a_key_isnt_read(door):
+    stream = raw(door, "POST /x HTTP/1.1\r\nContent-Length: 1000\r\n\r\n")
+    assert b"401" in stream.recv(1000)
+    assert not door.served
+
+
+@pytest.mark.parametrize("text", ["0.0.0.0:1", "192.168.1.1:80", "[::]:80", "example.org:80"])
+def test_beyond_loopback_nothing_listens(text):
+    with pytest.raises(NotLoopback, match="without TLS"):
+        loopback(text)
+
+
+@pytest.mark.parametrize("text", ["127.0.0.1", ":80", "127.0.0.1:x", "127.0.0.1:70000"])
+def test_what_is_no_address_is_told(text):
+    with pytest.raises(ValueError):
+        loopback(text)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -55,3 +55,20 @@
     world.next_limits = {"txn_ops": "few"}
     with pytest.raises(SettingsError, match=r"deployment.state.next.txn_ops must be a number"):
         world.settings("n0")
+
+
+def test_a_controller_on_the_platform_imports_nothing_of_the_product():
+    """Guards the small memory of `run`."""
+    import subprocess
+    import sys
+
+    code = ("import sys, tidebend.cli, tidebend.service\n"
+            "print(*sorted({name.partition('.')[0] for name in sys.modules}))\n"
+            "print(*sorted(name for name in sys.modules if name.startswith('tidebend.')))")
+    tops, ours = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True,
+                                check=True).stdout.splitlines()
+    heavy = {"msgspec", "rich", "structlog", "hcl2", "sqlite3", "cryptography", "prometheus_client"}
+    assert not heavy & set(tops.split())
+    new = ("access", "agent", "client", "control", "hcl", "logs", "messages", "provider", "store", "protocol.worker",
+           "protocol.store", "protocol.cloud", "protocol.user")
+    assert not [name for name in ours.split() if name.removeprefix("tidebend.").startswith(new)]
--- /dev/null
+++ b/tests/test_store.py
@@ -0,0 +1,263 @@
+"""The embedded state service: the protocol's answers, and what is left after each way of failing."""
+
+import os
+import signal
+import sqlite3
+import subprocess
+import sys
+import threading
+import time
+
+import pytest
+
+from tidebend.settings import Limits
+from tidebend.store import Damaged, Engine, Failed, Held, StateService
+from tidebend.store.disk import FILE
+from tidebend.store.engine import ConditionFailed, LeaseEnded, Write
+
+LIMITS = Limits(1e6, 1e6, 1024, 4)
+
+
+@pytest.fixture
+def engine(tmp_path):
+    engine = Engine(tmp_path / "s")
+    yield engine
+    engine.close()
+
+
+def reopened(engine, tmp_path):
+    engine.close()
+    return Engine(tmp_path / "s")
+
+
+CALLS = """
+POST /multi {"if":[{"k":"a/b","stamp":0}],"writes":[{"put":"a/b","v":{"x":1}}]} -> 200 {"logline":1}
+POST /multi {"if":[{"k":"a/b","stamp":0}],"writes":[{"put":"a/c","v":1}]} -> 409 {"logline":1,"failed":["a/b"]}
+POST /multi {"if":[{"k":"a/b","stamp":1}]} -> 200 {"logline":1}
+POST /multi {"writes":[{"put":"a/c","v":null},{"delete":"a/b"}]} -> 200 {"logline":2}
+GET /kv/a/b -> 404 {"logline":2}
+GET /kv/a/c -> 200 {"k":"a/c","v":null,"stamp":2}
+GET /kv?under=a/&page=1 -> 200 {"rows":[{"k":"a/c","v":null,"stamp":2}],"more":false,"logline":2}
+GET /changes?under=a%2F&from=1 -> 200 {"logline":2,"log":[{"put":"a/c","v":null,"stamp":2},{"delete":"a/b","stamp":2}]}
+GET /changes?under=b%2F&from=0 -> 200 {"logline":2,"log":[]}
+GET /changes?under=a%2F -> 400
+GET /changes?under=a%2F&from=x -> 400
+POST /multi {"writes":[{"put":"a b","v":1}]} -> 400
+POST /multi {"writes":[{"put":"x","delete":"y"}]} -> 400
+POST /multi {"writes":[{"delete":"x"},{"delete":"y"},{"delete":"z"},{"delete":"w"},{"delete":"u"}]} -> 400
+POST /multi {"writes":[{"put":"x","v":1,"mooring":99}]} -> 400 {"error":"no such lease"}
+POST /multi [] -> 400
+POST /grants {"lifeMs":99} -> 400
+POST /grants {"lifeMs":600000} -> 200 {"mooring":1}
+POST /grants/1/extend -> 200 {}
+DELETE /grants/1 -> 200 {}
+POST /grants/1/extend -> 404
+POST /grants/x/extend -> 400
+GET /nothing -> 404
+"""
+
+
+def test_answers_are_the_protocols(engine):
+    import json
+
+    service = StateService(engine, LIMITS)
+    for line in CALLS.strip().splitlines():
+        call, _, expected = line.partition(" -> ")
+        method, path, *body = call.split(" ", 2)
+        status, answer = service.handle(method, path, json.loads(body[0]) if body else None)
+        wanted, _, text = expected.partition(" ")
+        assert status == int(wanted), (line, answer)
+        if text:
+            assert answer == json.loads(text), line
+
+
+def test_a_value_and_a_transaction_have_their_limits(engine):
+    service = StateService(engine, Limits(1e6, 1e6, 60 * 1024, 4))
+    big = "x" * (60 * 1024 - 2)
+    assert service.handle("POST", "/multi", {"writes": [{"put": "a", "v": big}]})[0] == 200
+    assert service.handle("POST", "/multi", {"writes": [{"put": "a", "v": big + "x"}]})[0] == 400
+    assert service.handle("POST", "/multi", {"writes": [{"put": "a", "v": big}, {"put": "b", "v": big}]})[0] == 400
+
+
+def test_more_than_the_rates_is_refused_and_not_executed(engine):
+    service = StateService(engine, Limits(1e6, 5.0, 1024, 4))
+    statuses = [service.handle("POST", "/multi", {"writes": [{"put": f"k{n}", "v": 1}]})[0] for n in range(8)]
+    assert statuses.count(200) in (5, 6)
+    assert engine.count("k") == statuses.count(200)
+
+
+def test_keys_go_with_their_lease_and_only_then(engine):
+    lease = engine.grant(300)
+    engine.transact({}, [Write("mine", b"1", lease), Write("kept", b"1", lease)])
+    engine.transact({}, [Write("kept", b"2")])  # detached
+    for _ in range(4):
+        time.sleep(0.1)
+        assert engine.leases.extend(lease)
+    assert engine.get("mine")[0] is not None
+    deadline = time.monotonic() + 3.0
+    while engine.get("mine")[0] is not None and time.monotonic() < deadline:
+        time.sleep(0.02)
+    assert engine.get("mine")[0] is None and engine.get("kept")[0] is not None
+    assert not engine.leases.extend(lease)
+    with pytest.raises(LeaseEnded):
+        engine.transact({"nothing": 7}, [Write("mine", b"1", lease)])
+
+
+def test_a_restart_keeps_all_and_gives_leases_their_full_time(engine, tmp_path):
+    lease = engine.grant(1000)
+    engine.transact({}, [Write("mine", b"1", lease), Write("other", b"2")])
+    revision = engine.transact({}, [Write("gone", b"1")])
+    engine.transact({"gone": revision}, [Write("gone", None)])
+    time.sleep(0.6)
+    again = reopened(engine, tmp_path)
+    try:
+        assert again.feed.revision == revision + 1
+        assert again.get("gone")[0] is None
+        time.sleep(0.6)  # together longer than the lease, but not since the restart
+        assert again.get("mine")[0].value == 1
+        assert again.leases.extend(lease)
+        assert again.grant(1000) > lease  # a number is never given twice
+        assert again.transact({}, [Write("x", b"1")]) > revision + 1
+        # watches go on where they were, or are told to read anew
+        service = StateService(again, LIMITS)
+        assert service.handle("GET", f"/changes?under=&from={revision}", None)[0] == 410
+        assert service.handle("GET", f"/changes?under=&from={revision + 1}", None)[1]["log"][0]["put"] == "x"
+    finally:
+        again.close()
+
+
+def test_after_a_standstill_leases_have_their_full_time(engine, monkeypatch):
+    lease = engine.grant(5000)
+    real, jump = time.monotonic, 0.0
+    monkeypatch.setattr(time, "monotonic", lambda: real() + jump)
+    jump = 60.0  # as if the whole process had been stopped
+    time.sleep(0.3)
+    assert engine.leases.extend(lease)
+
+
+def test_a_second_service_on_the_directory_is_refused(engine, tmp_path):
+    with pytest.raises(Held):
+        Engine(tmp_path / "s")
+    engine.transact({}, [Write("a", b"1")])
+
+
+@pytest.mark.parametrize("how", ["newer", "foreign", "overwritten", "cut"])
+def test_a_file_that_cant_be_used_is_told_and_not_touched(tmp_path, how):
+    engine = Engine(tmp_path / "s")
+    for number in range(200):
+        engine.transact({}, [Write(f"k/{number}", b'"' + b"x" * 500 + b'"')])
+    engine.close()
+    path = tmp_path / "s" / FILE
+    if how == "newer":
+        with sqlite3.connect(path) as db:
+            db.execute("PRAGMA user_version = 99")
+    elif how == "foreign":
+        with sqlite3.connect(path) as db:
+            db.execute("PRAGMA application_id = 12345")
+    elif how == "overwritten":
+        with open(path, "r+b") as file:
+            file.seek(3 * 4096)
+            file.write(b"\xff" * 8192)
+    else:
+        os.truncate(path, path.stat().st_size - 20_000)
+    before = path.read_bytes()
+    with pytest.raises(Damaged, match=FILE):
+        Engine(tmp_path / "s")
+    assert path.read_bytes() == before
+
+
+def test_a_torn_last_page_costs_only_what_nobody_was_told(tmp_path):
+    engine = Engine(tmp_path / "s")
+    engine.transact({}, [Write("first", b"1")])
+    log = tmp_path / "s" / f"{FILE}-wal"
+    length = log.stat().st_size
+    engine.transact({}, [Write("second", b"1")])
+    files = {name: (tmp_path / "s" / name).read_bytes() for name in (FILE, f"{FILE}-wal")}
+    engine.close()
+    # the second change got half to the disk, as in a power cut before its sync
+    torn = tmp_path / "torn"
+    torn.mkdir()
+    (torn / FILE).write_bytes(files[FILE])
+    (torn / f"{FILE}-wal").write_bytes(files[f"{FILE}-wal"][:length + 100] + b"\0" * 3000)
+    again = Engine(torn)
+    assert again.get("first")[0] is not None and again.get("second")[0] is None
+    assert again.feed.revision == 1
+    again.close()
+
+
+def test_a_full_disk_refuses_changes_and_recovers_by_itself(engine):
+    engine.transact({}, [Write("before", b"1")])
+    pages = engine._connection.execute("PRAGMA page_count").fetchone()[0]
+    engine._connection.execute(f"PRAGMA max_page_count = {pages}")
+    big = b'"' + b"x" * 20_000 + b'"'
+    with pytest.raises(Failed, match="full"):
+        engine.transact({}, [Write("big", big)])
+    with pytest.raises(Failed):
+        engine.transact({}, [Write("big2", big)])
+    assert StateService(engine, Limits(1e6, 1e6, 32768, 4)).handle(
+        "POST", "/multi", {"writes": [{"put": "big", "v": "x" * 20_000}]})[0] == 503
+    assert engine.get("before")[0].value == 1 and engine.get("big")[0] is None
+    revision = engine.feed.revision
+    engine._connection.execute("PRAGMA max_page_count = 1000000")
+    assert engine.transact({}, [Write("big", big)]) == revision + 1
+    assert engine.failing is None
+
+
+def test_changes_of_many_share_their_syncs(engine):
+    def client(number):
+        for turn in range(20):
+            engine.transact({}, [Write(f"k/{number}/{turn}", b"1")])
+
+    before = engine.syncs
+    threads = [threading.Thread(target=client, args=(number,)) for number in range(16)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert engine.count("k/") == 320
+    assert engine.syncs - before < 320
+
+
+def test_of_two_that_want_the_same_one_gets_it(engine):
+    won = []
+
+    def client(number):
+        for turn in range(30):
+            try:
+                engine.transact({f"k/{turn}": 0}, [Write(f"k/{turn}", b"%d" % number)])
+                won.append((turn, number))
+            except ConditionFailed:
+                continue
+
+    threads = [threading.Thread(target=client, args=(number,)) for number in range(6)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert len(won) == 30
+    assert all(engine.get(f"k/{turn}")[0].value == number for turn, number in won)
+
+
+WRITER = """
+import sys
+from pathlib import Path
+from tidebend.store.engine import Engine, Write
+engine = Engine(Path(sys.argv[1]))
+for number in range(100):
+    engine.transact({}, [Write(f"k/{number:03}", b"1")])
+    print(number, flush=True)
+"""
+
+
+@pytest.mark.parametrize("fault", ["store.before-commit:20", "store.after-commit:20"])
+def test_killed_in_a_sync_what_was_answered_is_there(tmp_path, fault):
+    done = subprocess.run([sys.executable, "-c", WRITER, str(tmp_path / "s")], capture_output=True, text=True,
+                          env={**os.environ, "TIDEBEND_FAULT": fault})
+    assert done.returncode == -signal.SIGKILL
+    answered = len(done.stdout.split())
+    assert answered == 19
+    engine = Engine(tmp_path / "s")
+    # a change without an answer may be there or not, but whole
+    assert engine.count("k/") == answered + (fault.startswith("store.after"))
+    assert engine.feed.revision == engine.count("k/")
+    engine.close()
--- /dev/null
+++ b/tidebend/access/gate.py
@@ -0,0 +1,132 @@
+"""The server of every interface of the control service and its agents: nobody gets in without a key.
+
+A request's body is read only after its key was found good. Connections that haven't shown one are guests: few at a
+time, the oldest gives way to the newest, and none stays long, so that a thousand that say nothing, or say it byte by
+byte, keep nobody out.
+"""
+
+from __future__ import annotations
+
+import logging
+import socket
+import threading
+import time
+from typing import Any
+
+from tidebend.access.client import HEADER, SCHEME
+from tidebend.access.keys import Keyring
+from tidebend.transport import Handler, Reply, Route, Server
+
+log = logging.getLogger("access")
+
+# of all connections, so many may be guests at a time
+GUESTS_SHARE = 0.25
+
+
+class _GateHandler(Handler):
+    server: Gate
+
+    def _dispatch(self) -> Reply:
+        shown = self.headers.get(HEADER, "")
+        key = self.server.ring.accepts(shown[len(SCHEME):]) if shown.startswith(SCHEME) else None
+        if key is None:
+            self.close_connection = True
+            self.server.turned_away(self.client_address, self.command, self.path, bool(shown))
+            return Reply(401, {"error": "no key of ours"}, {"WWW-Authenticate": SCHEME.strip()})
+        self.server.came_in(self.connection)
+        try:
+            return super()._dispatch()
+        finally:
+            self.server.was_read(self.connection)
+
+    def _body(self) -> bytes:
+        # each byte would win another time-out otherwise: the whole body has one
+        self.server.reads(self.connection)
+        try:
+            return super()._body()
+        finally:
+            self.server.was_read(self.connection)
+
+
+class Gate(Server):
+    def __init__(self, address: tuple[str, int], route: Route, ring: Keyring, idle_s: float, body_s: float,
+                 most: int) -> None:
+        self.ring = ring
+        self.refused = 0
+        self._hello_s = body_s
+        self._whole_s = body_s
+        self._most_guests = max(2, int(most * GUESTS_SHARE))
+        self._tables = threading.Lock()
+        self._guests: dict[socket.socket, float] = {}  # connection -> steady time at which it came, oldest first
+        self._reading: dict[socket.socket, float] = {}  # connection -> steady time at which its body began
+        self._refusals_at = -1e9
+        self._closed = threading.Event()
+        super().__init__(address, route, idle_s, body_s, most, _GateHandler)
+        threading.Thread(target=self._watch, name="gate", daemon=True).start()
+
+    @property
+    def port(self) -> int:
+        return self.server_address[1]
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        with self._tables:
+            oldest = next(iter(self._guests)) if len(self._guests) >= self._most_guests else None
+            if oldest is not None:
+                del self._guests[oldest]
+            self._guests[request] = time.monotonic()
+        if oldest is not None:
+            _hang_up(oldest)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: Any) -> None:
+        with self._tables:
+            self._guests.pop(request, None)
+            self._reading.pop(request, None)
+        super().shutdown_request(request)
+
+    def server_close(self) -> None:
+        self._closed.set()
+        super().server_close()
+
+    def came_in(self, connection: socket.socket) -> None:
+        with self._tables:
+            self._guests.pop(connection, None)
+
+    def reads(self, connection: socket.socket) -> None:
+        with self._tables:
+            self._reading[connection] = time.monotonic()
+
+    def was_read(self, connection: socket.socket) -> None:
+        with self._tables:
+            self._reading.pop(connection, None)
+
+    def turned_away(self, address: Any, method: str, path: str, with_key: bool) -> None:
+        """Logged, but a flood of them fills no disk: once a second, with their number."""
+        now = time.monotonic()
+        with self._tables:
+            self.refused += 1
+            if now - self._refusals_at < 1.0:
+                return
+            self._refusals_at = now
+        log.warning("turned away: %s from %s %s, %s key (%d in all)", method, address[0], path.partition("?")[0][:80],
+                    "a wrong" if with_key else "no", self.refused)
+
+    def _watch(self) -> None:
+        while not self._closed.wait(self._hello_s / 8.0):
+            now = time.monotonic()
+            with self._tables:
+                late = [c for c, since in self._guests.items() if now - since > self._hello_s]
+                late += [c for c, since in self._reading.items() if now - since > self._whole_s]
+                for connection in late:
+                    self._guests.pop(connection, None)
+                    self._reading.pop(connection, None)
+            for connection in late:
+                _hang_up(connection)
+
+
+def _hang_up(connection: socket.socket) -> None:
+    """Its thread finds the end of the stream and closes it."""
+    try:
+        connection.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        return
--- /dev/null
+++ b/tidebend/protocol/user.py
@@ -0,0 +1,35 @@
+"""The users' side of their messages: a job as it is submitted, and the words of its states."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from tidebend.protocol import PATH_JOBS, RANKS, SHAPES, JobSpec
+
+__all__ = ["PATH_JOBS", "ended", "job", "state"]
+
+_SHAPES = {ours: theirs for theirs, ours in SHAPES.items()}
+_RANKS = {ours: theirs for theirs, ours in RANKS.items()}
+
+
+def job(name: str, spec: JobSpec, awaits: tuple[str, ...] = ()) -> dict[str, Any]:
+    """The body that submits a job."""
+    body = {"id": name, "tier": spec.job_class, "crew": spec.team, "shape": _SHAPES[spec.kind],
+            "rank": _RANKS[spec.priority], "pieces": spec.tasks, "vcpus": spec.cpus, "accelerators": spec.gpus,
+            "memoryGb": spec.memory_gb, "cargo": spec.image, "sizeGb": spec.image_gb,
+            "hulls": list(spec.types) if spec.types else None, "harbor": spec.zone, "samePlace": spec.one_zone,
+            "spread": spec.spread, "driftwood": spec.spot, "reckonS": spec.estimate_s, "markS": spec.checkpoint_s,
+            "stowS": spec.save_s, "dueS": spec.deadline_s}
+    if awaits:
+        body["awaits"] = list(awaits)
+    return body
+
+
+def state(body: dict[str, Any]) -> str:
+    """queued, running, done or cancelled."""
+    word = str(body.get("tide"))
+    return "cancelled" if word == "withdrawn" else word
+
+
+def ended(name: str) -> bool:
+    return name in ("done", "cancelled")
--- /dev/null
+++ b/tidebend/protocol/worker.py
@@ -0,0 +1,107 @@
+"""The workers' side of their messages: reports out, commands in.
+
+`msgspec` checks and names the field that is wrong. Not imported by `run`, which has the other side.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+
+from tidebend.protocol import PATH_REPORT, Command
+
+PATH_DIRECT = "/orders"
+PATH_SHOW = "/show"
+ELSEWHERE = 421
+
+__all__ = ["ELSEWHERE", "PATH_DIRECT", "PATH_REPORT", "PATH_SHOW", "Answer", "Direct", "Task", "elsewhere",
+           "parse_answer", "parse_direct", "report"]
+
+Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _Order(msgspec.Struct, frozen=True):
+    op: Literal["start", "kill", "clear"] = msgspec.field(name="order")
+    task: Annotated[str, msgspec.Meta(pattern=r"^req-[A-Za-z0-9][A-Za-z0-9_.\-]{0,150}/[0-9]{1,6}$")] = \
+        msgspec.field(name="piece")
+    attempt: Count = msgspec.field(name="launch")
+    grace_s: Annotated[float, msgspec.Meta(ge=0)] = msgspec.field(name="slackS", default=0.0)
+
+    def command(self) -> Command:
+        job, _, index = self.task.rpartition("/")
+        op = {"start": "start", "kill": "stop", "clear": "forget"}[self.op]
+        return Command(op, job, int(index), self.attempt, self.grace_s)
+
+
+class _Answer(msgspec.Struct, frozen=True):
+    token: Count | None = msgspec.field(name="helm", default=None)
+    orders: list[_Order] = msgspec.field(default_factory=list)
+
+
+class _Direct(msgspec.Struct, frozen=True):
+    token: Count = msgspec.field(name="helm")
+    session: Count = msgspec.field(name="watch")
+    orders: list[_Order] = msgspec.field(default_factory=list)
+
+
+class _Elsewhere(msgspec.Struct, frozen=True):
+    controller: str | None = msgspec.field(name="harbormaster", default=None)
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """What a report is answered with; without a token it has to be dropped."""
+
+    token: int | None
+    commands: list[Command]
+
+
+class Direct(msgspec.Struct, frozen=True):
+    token: int
+    session: int
+    commands: list[Command]
+
+
+class Task(msgspec.Struct, frozen=True):
+    """A task as a report shows it; `why` is there once it has ended."""
+
+    job: str
+    index: int
+    attempt: int
+    state: str
+    why: str | None = None
+    saved: bool = False
+
+    def row(self) -> dict[str, Any]:
+        row: dict[str, Any] = {"piece": f"{self.job}/{self.index}", "launch": self.attempt, "tide": self.state}
+        if self.why is not None:
+            row["cause"] = self.why
+        if self.saved:
+            row["stored"] = True
+        return row
+
+
+def parse_answer(body: Any) -> Answer:
+    """Raises msgspec.ValidationError, which names the field."""
+    answer = msgspec.convert(body, _Answer, strict=False)
+    return Answer(answer.token, [order.command() for order in answer.orders])
+
+
+def parse_direct(body: Any) -> Direct:
+    """Raises msgspec.ValidationError, which names the field."""
+    direct = msgspec.convert(body, _Direct, strict=False)
+    return Direct(direct.token, direct.session, [order.command() for order in direct.orders])
+
+
+def elsewhere(body: Any) -> str | None:
+    """The controller that a 421 names, if it names one."""
+    try:
+        return msgspec.convert(body, _Elsewhere).controller
+    except msgspec.ValidationError:
+        return None
+
+
+def report(machine: str, address: str, kind: str, zone: str, spot: bool, session: int, sequence: int, token: int,
+           notice_s: float | None, tasks: list[Task]) -> dict[str, Any]:
+    return {"vessel": machine, "address": address, "hull": kind, "harbor": zone, "driftwood": spot, "watch": session,
+            "tally": sequence, "helm": token, "warningS": notice_s, "pieces": [task.row() for task in tasks]}
--- a/tidebend/service/__init__.py
+++ b/tidebend/service/__init__.py
@@ -115,15 +115,20 @@
                 return self.users.cancel(name)
         return Reply(404, {"error": "no such path"})
 
-    def start(self) -> Server:
-        server = Server(self.settings.listen, self.route, idle_s=2.0 * self.settings.lease_s,
-                        body_s=min(5.0, self.settings.lease_s / 2.0), most=self.settings.max_sockets * 2 // 3)
+    def begin(self) -> None:
+        """Start all threads; requests reach us through `route`, by whichever server."""
         self.mirror.start()
         self.coordinator.start()
-        self.link.start()
+        if self.settings.peers:
+            self.link.start()
         self.dispatcher.start()
         self.planner.start()
         self.rentals.start()
+
+    def start(self) -> Server:
+        server = Server(self.settings.listen, self.route, idle_s=2.0 * self.settings.lease_s,
+                        body_s=min(5.0, self.settings.lease_s / 2.0), most=self.settings.max_sockets * 2 // 3)
+        self.begin()
         return server
 
 
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -89,7 +89,13 @@
 
     def release(self, names: list[str]) -> bool:
         answer = self._call("POST", protocol.PATH_RELEASE, protocol.release(names))
-        if answer is None or answer[0] != 200:
+        whole = answer is not None and answer[0] == 200
+        if answer is not None and answer[0] == 409:
+            # a provider that can't prove it of all: those that it names are gone
+            names = [name for name in protocol.parse_rented(answer[1]) if name in names]
+        elif not whole:
+            return False
+        if not names:
             return False
         self.fleet.released(names)
         now = time.monotonic()
@@ -100,7 +106,7 @@
             del self.gone_news[name]
         log.info("released %s", ", ".join(names))
         self._bury(set(names))
-        return True
+        return whole
 
     def _bury(self, names: set[str]) -> None:
         """The cloud has confirmed that machines are gone, and with them all that they ran or might have started."""
--- a/tidebend/transport/__init__.py
+++ b/tidebend/transport/__init__.py
@@ -39,11 +39,17 @@
         self._idle: list[http.client.HTTPConnection] = []
         self._lock = threading.Lock()
 
+    def _connection(self, timeout: float) -> http.client.HTTPConnection:
+        return http.client.HTTPConnection(*self.address, timeout=timeout)
+
+    def _headers(self, with_body: bool) -> dict[str, str]:
+        return {"Content-Type": "application/json"} if with_body else {}
+
     def request(self, method: str, path: str, body: Any = None, timeout: float = 2.0) -> tuple[int, Any]:
         with self._lock:
             connection = self._idle.pop() if self._idle else None
         if connection is None:
-            connection = http.client.HTTPConnection(*self.address, timeout=timeout)
+            connection = self._connection(timeout)
             try:
                 connection.connect()
                 connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -54,8 +60,7 @@
             connection.sock.settimeout(timeout)
         data = None if body is None else json.dumps(body, separators=(",", ":")).encode()
         try:
-            headers = {"Content-Type": "application/json"} if data is not None else {}
-            connection.request(method, path, data, headers)
+            connection.request(method, path, data, self._headers(data is not None))
             response = connection.getresponse()
             raw = response.read()
             status = response.status
@@ -121,7 +126,7 @@
 Route = Callable[[str, str, Callable[[], bytes]], Reply]
 
 
-class _Handler(BaseHTTPRequestHandler):
+class Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
     wbufsize = 0
@@ -155,10 +160,13 @@
             raise BadRequest("the body is cut short")
         return data
 
+    def _dispatch(self) -> Reply:
+        return self.server.route(self.command, self.path, self._body)
+
     def _answer(self) -> None:
         self._read = False
         try:
-            reply = self.server.route(self.command, self.path, self._body)
+            reply = self._dispatch()
         except BadRequest as error:
             reply = Reply(400, {"error": str(error)})
         except Reply as thrown:
@@ -196,12 +204,13 @@
     block_on_close = False
     request_queue_size = 128
 
-    def __init__(self, address: tuple[str, int], route: Route, idle_s: float, body_s: float, most: int) -> None:
+    def __init__(self, address: tuple[str, int], route: Route, idle_s: float, body_s: float, most: int,
+                 handler: type[Handler] = Handler) -> None:
         self.route = route
         self.idle_s = idle_s
         self.body_s = body_s
         self._free = threading.BoundedSemaphore(most)
-        super().__init__(address, _Handler)
+        super().__init__(address, handler)
 
     def server_bind(self) -> None:
         # HTTPServer looks its own name up, and there are no name look-ups on the machines
