A thin agent: reports and obeys, keeps its tasks as processes, and knows them after a crash

Need: the workers' side of the protocol on ordinary machines, so that a user's own tasks can run.

Change: package agent. One thread owns session, token, lease and tasks; the lease is looked at before anything that has come in, so that an agent that stood still ends its stale work before it hears of anything new. A process is written down before it starts, waits for a word until it is known by its process id and start time, and only then becomes the task. All that descends from a task ends with it. Settings are HCL, checked with line and field.

--- /dev/null
+++ b/tests/test_agent.py
@@ -0,0 +1,359 @@
+"""An agent against every kind of task and order: real processes, commands given as a controller would."""
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from tidebend.agent.diary import BadDiary, Begun, Diary
+from tidebend.agent.output import Output, read
+from tidebend.agent.processes import boot_id, end_leftovers, look
+from tidebend.agent.worker import Late, Worker
+from tidebend.messages import Bounds, Description, Joined, Mustered
+from tidebend.protocol import Command
+from tidebend.protocol.worker import Answer, Direct
+
+JOB = "req-1"
+TERMS = Joined("vm-1", "here", 0.2, 60.0, 1.0, 1.0, 4.0, 0.0, 4.0, {"control": "127.0.0.1:1"})
+
+
+class Agent:
+    """A worker without its calls: the test is its control service."""
+
+    def __init__(self, directory, lease_s=60.0, **descriptions):
+        self.descriptions = {f"req-{name}": description for name, description in descriptions.items()}
+        self.diary = Diary(directory)
+        terms = TERMS if lease_s == 60.0 else Joined("vm-1", "here", 0.2, lease_s, 1.0, 1.0, 4.0, 0.0, 4.0, {})
+        self.wanted = []
+        self.worker = Worker(directory, self.diary, terms, "127.0.0.1:1", "small", self.wanted.append,
+                             lambda: None, lambda: None)
+        self.thread = self.worker.start()
+        self.worker.ask(lambda: None)  # its session has begun
+
+    @property
+    def session(self):
+        return self.worker.session
+
+    def answer(self, *commands, token=1, session=None, sent=None):
+        session = self.session if session is None else session
+        sent = time.clock_gettime(time.CLOCK_BOOTTIME) if sent is None else sent
+        return self.worker.ask(lambda: self.worker.answered(Answer(token, list(commands)), session, sent))
+
+    def direct(self, *commands, token=1, session=None):
+        session = self.session if session is None else session
+        return self.worker.ask(lambda: self.worker.direct(Direct(token, session, list(commands))))
+
+    def start(self, *indexes, job=JOB, attempt=1, **more):
+        self.answer(*(Command("start", job, index, attempt) for index in indexes), **more)
+        self.describe()
+
+    def describe(self):
+        while self.wanted:
+            job = self.wanted.pop()
+            self.worker.ask(lambda job=job: self.worker.described(job, self.descriptions.get(job)))
+
+    def states(self):
+        rows = self.worker.ask(self.worker.report)[0]["pieces"]
+        return {row["piece"].partition("/")[2]: (row["tide"], row.get("cause")) for row in rows}
+
+    def until(self, what, seconds=10.0):
+        deadline = time.monotonic() + seconds
+        while not what():
+            assert time.monotonic() < deadline, self.states()
+            time.sleep(0.01)
+
+    def until_state(self, index, *wanted):
+        self.until(lambda: self.states().get(str(index)) == (wanted if len(wanted) == 2 else (*wanted, None)))
+
+    def end(self):
+        if self.thread.is_alive():
+            self.worker.ask(self.worker.stop, timeout=20.0)
+            self.thread.join(10.0)
+        self.diary.close()
+
+
+@pytest.fixture
+def agent(tmp_path):
+    made = []
+
+    def make(lease_s=60.0, directory=tmp_path / "agent", **descriptions):
+        made.append(Agent(directory, lease_s, **descriptions))
+        return made[-1]
+
+    yield make
+    for each in made:
+        each.end()
+
+
+def sh(text, **more):
+    return Description(["sh", "-c", text], **more)
+
+
+def pids(path):
+    return [int(line) for line in Path(path).read_text().split()] if Path(path).exists() else []
+
+
+def gone(pid):
+    seen = look(pid)
+    return seen is None or seen.dead
+
+
+def test_tasks_end_as_they_end(agent, tmp_path):
+    one = agent(**{"1": sh("echo $TIDEBEND_TASK of $TIDEBEND_TASKS; exit $TIDEBEND_TASK", tasks=2),
+                   "2": Description(["/no/such/program"]), "3": sh("true", directory="/no/such/place")})
+    one.start(0, 1)
+    one.until_state(0, "ended", "done")
+    one.until_state(1, "ended", "error")
+    assert read(one.worker.outputs, JOB, 1, 100) == (1, b"1 of 2\n")
+    one.start(2, job="req-2")
+    one.until_state(2, "ended", "error")
+    one.start(3, job="req-3")
+    one.until_state(3, "ended", "error")
+    one.start(4, job="req-4")  # nobody has described it
+    one.until_state(4, "ended", "no_such")
+    assert one.diary.begun() == []
+
+
+def test_commands_repeated_late_and_in_order(agent, tmp_path):
+    log = tmp_path / "log"
+    one = agent(**{"1": sh(f"echo $$ >> {log}; sleep 60")})
+    start, kill = Command("start", JOB, 0, 1), Command("stop", JOB, 0, 1, 0.0)
+    clear = Command("forget", JOB, 0, 1)
+    one.start(0)
+    one.until_state(0, "running")
+    one.answer(start, start)
+    one.direct(start, clear)  # a running task isn't cleared, a known attempt isn't started again
+    one.answer(Command("start", JOB, 0, 2))  # nor another attempt beside it
+    one.until(lambda: len(pids(log)) == 1)
+    one.direct(kill, kill)
+    one.until_state(0, "ended", "stopped")
+    one.answer(start)
+    assert one.states()["0"] == ("ended", "stopped")
+    one.direct(clear, Command("start", JOB, 0, 2))
+    one.describe()
+    one.until(lambda: len(pids(log)) == 2)
+
+
+def test_a_lower_token_or_another_session_is_not_obeyed(agent, tmp_path):
+    one = agent(**{"1": sh("sleep 60")})
+    start = Command("start", JOB, 0, 1)
+    assert one.answer(token=7)
+    assert not one.answer(start, token=6)
+    assert not one.answer(start, token=None)
+    assert not one.answer(start, token=9, session=one.session - 1)
+    for token, session in ((6, one.session), (7, one.session - 1), (8, one.session + 1)):
+        with pytest.raises(Late):
+            one.direct(start, token=token, session=session)
+    assert one.states() == {} and one.worker.token == 7
+    # what it has seen outlasts it
+    one.end()
+    again = agent()
+    assert again.worker.token == 7 and again.session == one.session + 1
+
+
+def test_without_answers_all_ends_and_a_later_session_begins(agent, tmp_path):
+    log = tmp_path / "log"
+    one = agent(lease_s=0.8, **{"1": sh(f"echo $$ >> {log}; setsid sh -c 'echo $$ >> {log}; sleep 60' & sleep 60")})
+    one.start(0)
+    one.until(lambda: len(pids(log)) == 2)
+    session = one.session
+    one.until(lambda: one.session == session + 1, 5.0)
+    assert one.states() == {} and all(gone(pid) for pid in pids(log))
+    assert not one.answer(Command("start", JOB, 0, 1), session=session)
+    assert one.states() == {}
+
+
+def test_an_answer_renews_from_when_its_report_was_sent(agent):
+    one = agent(lease_s=1.0, **{"1": sh("sleep 60")})
+    one.start(0)
+    session, sent = one.session, time.clock_gettime(time.CLOCK_BOOTTIME)
+    for _ in range(4):  # answers keep coming, all to an old report
+        time.sleep(0.3)
+        with contextlib.suppress(AssertionError):
+            one.answer(sent=sent, session=session)
+    assert one.session == session + 1
+
+
+@pytest.mark.parametrize("text", [
+    "trap '' TERM; echo $$ >> LOG; while true; do sleep 0.1; done",
+    "echo $$ >> LOG; (echo $$; sleep 61) & (setsid sh -c 'echo $$ >> LOG; sleep 62' &) ; sleep 63",
+    "echo $$ >> LOG; setsid setsid sh -c 'echo $$ >> LOG; env -i sleep 64' & sleep 63",
+])
+def test_whatever_a_task_does_when_told_to_stop_nothing_of_it_is_left(agent, tmp_path, text):
+    log = tmp_path / "log"
+    one = agent(lease_s=4.0, **{"1": sh(text.replace("LOG", str(log)))})
+    one.start(0)
+    one.until(lambda: len(pids(log)) == (1 if "trap" in text else 2))
+    one.direct(Command("stop", JOB, 0, 1, 0.0))
+    one.until_state(0, "ended", "stopped")
+    assert all(gone(pid) for pid in pids(log))
+    left = subprocess.run(["pgrep", "-f", "^sleep 6[0-4]$"], capture_output=True, text=True).stdout
+    assert left == ""
+
+
+def test_what_outlives_a_task_that_ended_well_ends_with_it(agent, tmp_path):
+    log = tmp_path / "log"
+    one = agent(**{"1": sh(f"setsid sh -c 'echo $$ >> {log}; sleep 65' & while [ ! -s {log} ]; do sleep 0.02; done")})
+    one.start(0)
+    one.until_state(0, "ended", "done")
+    assert len(pids(log)) == 1 and all(gone(pid) for pid in pids(log))
+
+
+def test_a_task_that_ended_before_it_was_told_to_stop_is_done(agent):
+    one = agent(**{"1": sh("true"), "2": sh("trap 'exit 0' TERM; sleep 60 & wait")})
+    one.start(0)
+    one.until_state(0, "ended", "done")
+    one.direct(Command("stop", JOB, 0, 1, 0.0))
+    assert one.states()["0"] == ("ended", "done")
+    one.start(1, job="req-2")
+    one.until_state(1, "running")
+    one.direct(Command("stop", "req-2", 1, 1, 0.0))
+    # it says 0, but it was told to stop: nobody knows whether it was through
+    one.until_state(1, "ended", "stopped")
+
+
+def test_saving_needs_a_place_and_the_time(agent, tmp_path):
+    saves = "trap 'sleep 0.1; echo x > $TIDEBEND_CHECKPOINT/c; exit 0' TERM; sleep 60 & wait"
+    one = agent(**{"1": sh(saves, checkpoints=str(tmp_path / "c"), checkpoint_s=1.0, save_s=1.0)})
+    one.start(0, 1, 2)
+    for index in range(3):
+        one.until_state(index, "running")
+    time.sleep(0.2)
+    one.direct(Command("stop", JOB, 0, 1, 5.0), Command("stop", JOB, 1, 1, 5.0), Command("stop", JOB, 1, 1, 0.0),
+               Command("stop", JOB, 2, 1, 0.5))
+    for index in range(3):
+        one.until_state(index, "ended", "stopped")
+    rows = {row["piece"]: row.get("stored") for row in one.worker.ask(one.worker.report)[0]["pieces"]}
+    assert rows == {f"{JOB}/0": True, f"{JOB}/1": None, f"{JOB}/2": None}
+    assert (tmp_path / "c" / JOB / "0" / "c").exists()
+
+
+def test_output_is_bounded_and_the_newest_is_kept(agent, tmp_path):
+    one = agent(**{"1": sh("i=0; while [ $i -lt 20000 ]; do echo line $i; i=$((i+1)); done", output_kb=8)})
+    one.start(0)
+    one.until_state(0, "ended", "done")
+    attempt, data = read(one.worker.outputs, JOB, 0, 10**6)
+    assert data.endswith(b"line 19999\n") and len(data) <= 8 * 1024
+    output = Output(tmp_path / "o", 1000)
+    output.add(b"a" * 499 + b"b" * 600)
+    output.close()
+    assert sum(path.stat().st_size for path in (tmp_path / "o").iterdir()) <= 1000
+
+
+def test_more_than_there_is_room_for_is_refused(agent):
+    one = agent(**{"1": sh("sleep 60", cpus=3.0), "2": sh("sleep 60", cpus=2.0), "3": sh("sleep 60", memory_gb=5.0)})
+    one.start(0)
+    one.until_state(0, "running")
+    one.start(1, job="req-2")
+    one.until_state(1, "ended", "full")
+    one.start(2, job="req-3")
+    one.until_state(2, "ended", "full")
+    one.direct(Command("stop", JOB, 0, 1, 0.0))
+    one.until_state(0, "ended", "stopped")
+    one.start(3, job="req-2")
+    one.until_state(3, "running")
+
+
+def test_bounds_are_kept_by_the_system(agent):
+    grab = "import sys; b = bytearray(int(sys.argv[1]))"
+    one = agent(**{"1": Description([sys.executable, "-c", grab, str(10**9)], bounds=Bounds(memory_gb=0.3)),
+                   "2": Description([sys.executable, "-c", grab, "1000"], bounds=Bounds(memory_gb=0.3)),
+                   "3": sh("ulimit -n; exec dd if=/dev/zero of=big bs=1M count=3",
+                           bounds=Bounds(file_mb=2, open_files=64))})
+    for index, job in enumerate(("req-1", "req-2", "req-3")):
+        one.start(index, job=job)
+    one.until_state(0, "ended", "error")
+    one.until_state(1, "ended", "done")
+    one.until_state(2, "ended", "error")
+    assert read(one.worker.outputs, "req-3", 2, 1000)[1].startswith(b"64\n")
+
+
+def test_gang_tasks_start_and_end_together(agent):
+    one = agent(**{"1": sh("sleep 0.$((TIDEBEND_TASK + 1)); exit 0", kind="gang", tasks=2),
+                   "2": sh("sleep 60", kind="gang", tasks=2)})
+    one.start(0, 1)
+    assert {state for state, _ in one.states().values()} == {"waiting"}
+    tell = lambda verdict: [one.worker.ask(lambda task=task: one.worker.mustered(task, Mustered(verdict)))  # noqa: E731
+                            for task, _ in one.worker.ask(one.worker.gathering)]
+    tell("start")
+    one.until(lambda: [phase for _, phase in one.worker.ask(one.worker.gathering)] == ["finished"] * 2)
+    assert {state for state, _ in one.states().values()} == {"running"}  # until all are known to be through
+    tell("done")
+    assert set(one.states().values()) == {("ended", "done")}
+    one.answer(*(Command("forget", JOB, index, 1) for index in (0, 1)))
+    one.start(0, 1, job="req-2")
+    one.until(lambda: one.states() == {}, 0.1) if not one.states() else None
+    tell("start")
+    tell("mates_gone")
+    one.until(lambda: set(one.states().values()) == {("ended", "mates_gone")})
+    one.answer(*(Command("forget", "req-2", index, 1) for index in (0, 1)))
+    one.start(0, job="req-2", attempt=2)
+    one.until_state(0, "ended", "incomplete")  # nobody else comes
+
+
+def test_an_agent_that_returns_ends_what_it_had_begun(agent, tmp_path):
+    directory, log = tmp_path / "agent", tmp_path / "log"
+    script = (f"import sys, time; sys.path.insert(0, {str(Path.cwd())!r}); from pathlib import Path\n"
+              "from tests.test_agent import Agent, sh, Command\n"
+              f"one = Agent(Path({str(directory)!r}), **{{'1': sh('echo $$ >> {log}; sleep 66')}})\n"
+              "one.start(0, 1, 2)\nprint('up', flush=True)\ntime.sleep(60)")
+    before = subprocess.Popen([sys.executable, "-c", script], stdout=subprocess.PIPE)
+    before.stdout.readline()
+    deadline = time.monotonic() + 10.0
+    while len(pids(log)) < 3 and time.monotonic() < deadline:
+        time.sleep(0.02)
+    before.kill()
+    before.wait()
+    assert len(pids(log)) == 3 and not any(gone(pid) for pid in pids(log))  # its children are alive, and nobody's
+    one = agent(directory=directory)
+    assert all(gone(pid) for pid in pids(log))
+    assert one.states() == {} and one.diary.begun() == []
+
+
+@pytest.mark.parametrize("fault", ["agent.written-down", "agent.begun", "agent.identified"])
+def test_killed_at_each_step_of_a_start_nothing_runs_unknown(agent, tmp_path, fault):
+    directory, log = tmp_path / "agent", tmp_path / "log"
+    script = (f"import sys, time; sys.path.insert(0, {str(Path.cwd())!r}); from pathlib import Path\n"
+              "from tests.test_agent import Agent, sh\n"
+              f"one = Agent(Path({str(directory)!r}), **{{'1': sh('echo $$ >> {log}; sleep 67')}})\n"
+              "one.start(0, 1)")
+    done = subprocess.run([sys.executable, "-c", script], env={**os.environ, "TIDEBEND_FAULT": fault},
+                          stderr=subprocess.DEVNULL)
+    assert done.returncode == -signal.SIGKILL
+    time.sleep(0.2)
+    assert pids(log) == []  # none of them had the word to go on
+    one = agent(directory=directory, **{"1": sh(f"echo $$ >> {log}; sleep 67")})
+    assert one.diary.begun() == []
+    one.start(0, 1)
+    one.until(lambda: len(pids(log)) == 2)
+
+
+def test_a_process_id_that_was_given_to_another_is_left_alone(tmp_path):
+    diary = Diary(tmp_path)
+    other = subprocess.Popen(["sleep", "68"])
+    try:
+        seen = look(other.pid)
+        row = Begun("mark", "t/0", other.pid, seen.started - 1, boot_id())
+        diary.begin([row])
+        diary.identify([row])
+        assert end_leftovers(diary) and diary.begun() == []
+        assert other.poll() is None
+    finally:
+        other.kill()
+        other.wait()
+        diary.close()
+
+
+def test_a_diary_of_a_newer_version_is_refused(tmp_path):
+    Diary(tmp_path).close()
+    import sqlite3
+
+    with sqlite3.connect(tmp_path / "diary.db") as db:
+        db.execute("PRAGMA user_version = 99")
+    with pytest.raises(BadDiary, match="newer"):
+        Diary(tmp_path)
--- /dev/null
+++ b/tidebend/agent/diary.py
@@ -0,0 +1,99 @@
+"""What must outlast a crash of the agent: its name, session, highest token, and the processes it has begun.
+
+A process is written down before it starts, so that an agent that returns knows its own: it ends them and only then
+begins a later session. The same file tells the local provider what to end when the agent is gone for good.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from dataclasses import dataclass
+from pathlib import Path
+
+FILE = "diary.db"
+VERSION = 1
+
+TABLES = """
+CREATE TABLE facts (name TEXT PRIMARY KEY, value TEXT NOT NULL) WITHOUT ROWID;
+CREATE TABLE begun (mark TEXT PRIMARY KEY, task TEXT NOT NULL, pid INTEGER, started INTEGER, boot TEXT) WITHOUT ROWID;
+"""
+
+
+class BadDiary(Exception):
+    """The file can't be used; nothing in it was changed."""
+
+
+@dataclass(frozen=True, slots=True)
+class Begun:
+    """A process group that may be there. `pid` is None until it is known; before that it has not been let go on."""
+
+    mark: str  # in the environment of all that descends from it
+    task: str
+    pid: int | None = None
+    started: int | None = None  # ticks since the machine booted
+    boot: str | None = None
+
+
+class Diary:
+    """For one thread. Each change is on the disk when its call returns."""
+
+    def __init__(self, directory: Path) -> None:
+        """Raises BadDiary."""
+        directory.mkdir(parents=True, exist_ok=True, mode=0o700)
+        path = directory / FILE
+        try:
+            self._connection = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=5.0)
+            version = self._connection.execute("PRAGMA user_version").fetchone()[0]
+            if version > VERSION:
+                raise BadDiary(f"{path}: written by a newer tidebend (its version is {version})")
+            self._connection.execute("PRAGMA journal_mode = WAL")
+            self._connection.execute("PRAGMA synchronous = FULL")
+            if version == 0:
+                self._connection.executescript(f"BEGIN IMMEDIATE; {TABLES} PRAGMA user_version = {VERSION}; COMMIT;")
+        except sqlite3.Error as error:
+            raise BadDiary(f"{path}: {error}") from error
+
+    def fact(self, name: str, default: str = "") -> str:
+        row = self._connection.execute("SELECT value FROM facts WHERE name = ?", (name,)).fetchone()
+        return row[0] if row else default
+
+    def note(self, **facts: str) -> None:
+        with self._whole():
+            self._connection.executemany("INSERT OR REPLACE INTO facts VALUES (?, ?)", facts.items())
+
+    def begin(self, rows: list[Begun]) -> None:
+        with self._whole():
+            self._connection.executemany("INSERT INTO begun (mark, task) VALUES (?, ?)",
+                                         [(row.mark, row.task) for row in rows])
+
+    def identify(self, rows: list[Begun]) -> None:
+        with self._whole():
+            self._connection.executemany("UPDATE begun SET pid = ?, started = ?, boot = ? WHERE mark = ?",
+                                         [(row.pid, row.started, row.boot, row.mark) for row in rows])
+
+    def ended(self, marks: list[str]) -> None:
+        if marks:
+            with self._whole():
+                self._connection.executemany("DELETE FROM begun WHERE mark = ?", [(mark,) for mark in marks])
+
+    def begun(self) -> list[Begun]:
+        return [Begun(*row) for row in self._connection.execute("SELECT mark, task, pid, started, boot FROM begun")]
+
+    def close(self) -> None:
+        self._connection.close()
+
+    def _whole(self) -> _Whole:
+        return _Whole(self._connection)
+
+
+class _Whole:
+    """One transaction: on the disk as a whole, or not at all."""
+
+    def __init__(self, connection: sqlite3.Connection) -> None:
+        self._connection = connection
+
+    def __enter__(self) -> None:
+        self._connection.execute("BEGIN IMMEDIATE")
+
+    def __exit__(self, kind: type[BaseException] | None, *_: object) -> None:
+        self._connection.execute("COMMIT" if kind is None else "ROLLBACK")
--- /dev/null
+++ b/tidebend/agent/main.py
@@ -0,0 +1,128 @@
+"""One agent: joins the control service, and is a machine until it is told to leave or to end."""
+
+from __future__ import annotations
+
+import logging
+import os
+import signal
+import threading
+import time
+import uuid
+from pathlib import Path
+
+from tidebend.access import Gate, KeyedClient, Keyring
+from tidebend.agent import doors
+from tidebend.agent.diary import Diary
+from tidebend.agent.link import Gone, Link, Refused, join
+from tidebend.agent.processes import boot_id, end_leftovers, look
+from tidebend.agent.settings import AgentSettings
+from tidebend.agent.worker import Worker
+from tidebend.messages import Joined, Joining
+from tidebend.store.disk import DirectoryLock, Held
+from tidebend.transport import Reply
+
+log = logging.getLogger("agent")
+
+STACK_BYTES = 256 * 1024
+MOST_CONNECTIONS = 64
+
+
+def run_agent(settings: AgentSettings) -> int:
+    """Until SIGTERM or SIGINT; the exit status. Raises Held, BadDiary, BadKeys or Refused."""
+    threading.stack_size(STACK_BYTES)
+    directory = settings.place()
+    lock = _locked(directory)
+    ring = Keyring(Path(settings.key_file))
+    diary = Diary(directory)
+    me = look(os.getpid())
+    diary.note(pid=str(os.getpid()), started=str(me.started if me else 0), boot=boot_id())
+    ended = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: ended.set())
+    try:
+        if diary.fact("gone"):
+            log.info("this machine was given back: ending")
+            return 0
+        while not ended.is_set():
+            if not _be_a_machine(settings, ring, diary, ended):
+                return 0
+    finally:
+        diary.close()
+        lock.release()
+    return 0
+
+
+def _locked(directory: Path) -> DirectoryLock:
+    """Two agents with one diary would end each other's tasks. The provider looks at the lock for a moment at times."""
+    for _ in range(20):
+        try:
+            return DirectoryLock(directory)
+        except Held:
+            time.sleep(0.1)
+    return DirectoryLock(directory)
+
+
+def _be_a_machine(settings: AgentSettings, ring: Keyring, diary: Diary, ended: threading.Event) -> bool:
+    """One life as one machine; False if the agent is to end."""
+    nonce = diary.fact("nonce")
+    if not nonce:
+        nonce = uuid.uuid4().hex
+        # a new machine begins anew: nobody knows its sessions or tokens
+        diary.note(nonce=nonce, session="0", token="0")
+    try:
+        terms = _join(settings, ring, nonce, [name for name in diary.fact("left").split() if name], ended)
+    except Gone:
+        # by an operator's word, while we were away: whatever is left of that life ends before another begins
+        while not end_leftovers(diary):
+            log.error("processes of an earlier life can't be ended; trying again")
+        diary.note(nonce="", machine="")
+        return not ended.wait(0.5)
+    if terms is None:
+        return False
+    diary.note(machine=terms.machine, left="")
+    link = Link(ring, terms)
+    # the port is known before the first report is made, and the routes once there is a worker
+    gate = Gate(_address(settings.listen), lambda *_: Reply(503, {"error": "starting"}), ring, 2 * terms.lease_s,
+                min(5.0, terms.lease_s / 2), MOST_CONNECTIONS)
+    worker = Worker(settings.place(), diary, terms, f"{gate.server_address[0]}:{gate.port}", settings.kind,
+                    lambda _: link.fetch_wanted.set(), link.muster_wanted.set, link.changed.set)
+    gate.route = doors.route(worker)
+    thread = worker.start()
+    link.start(worker)
+    threading.Thread(target=gate.serve_forever, kwargs={"poll_interval": 1.0}, name="doors", daemon=True).start()
+    log.info("machine %s of type %s listens on %s", terms.machine, settings.kind, worker.address)
+    alone_s = settings.alone_leases * terms.lease_s
+    while thread.is_alive() and not ended.wait(0.2):
+        if alone_s and time.monotonic() - link.heard > alone_s:
+            log.warning("nothing heard of the control service for %.0f s: ending", alone_s)
+            ended.set()
+    if thread.is_alive():
+        worker.ask(worker.stop, timeout=30.0)
+        thread.join(5.0)
+    link.end()
+    time.sleep(0.1)  # whoever told us to leave gets his answer
+    gate.shutdown()
+    gate.server_close()
+    return not ended.is_set()
+
+
+def _join(settings: AgentSettings, ring: Keyring, nonce: str, left: list[str],
+          ended: threading.Event) -> Joined | None:
+    client = KeyedClient(_address(settings.control), ring.shown, keep=1)
+    since = time.monotonic()
+    while not ended.is_set():
+        terms = join(client, Joining(nonce, settings.kind, settings.label or os.uname().nodename, left))
+        if terms is not None:
+            return terms
+        if settings.alone_leases and time.monotonic() - since > 60.0 * settings.alone_leases:
+            return None
+        ended.wait(0.5)
+    return None
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
+
+
+__all__ = ["Refused", "run_agent"]
--- /dev/null
+++ b/tidebend/agent/output.py
@@ -0,0 +1,81 @@
+"""What tasks write, kept in files of bounded size: the newest of it, in two halves of which the older goes first."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import shutil
+from pathlib import Path
+
+NEWER, OLDER = "out", "out.1"
+# outputs of so many starts are kept; the oldest go
+KEPT = 500
+
+
+class Output:
+    """One start's output. For one thread; a disk that is full costs output, never the task."""
+
+    def __init__(self, directory: Path, most_bytes: int) -> None:
+        self.directory = directory
+        self._half = max(512, most_bytes // 2)
+        self._size = 0
+        self._file = -1
+        self.lost = 0  # bytes that the disk didn't take
+        directory.mkdir(parents=True, exist_ok=True, mode=0o700)
+        self._open()
+
+    def _open(self) -> None:
+        with contextlib.suppress(OSError):
+            self._file = os.open(self.directory / NEWER, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+        self._size = 0
+
+    def add(self, data: bytes) -> None:
+        while data:
+            if self._size >= self._half:
+                os.close(self._file)
+                os.replace(self.directory / NEWER, self.directory / OLDER)
+                self._open()
+            part, data = data[:self._half - self._size], data[self._half - self._size:]
+            try:
+                self._size += os.write(self._file, part)
+            except OSError:
+                self.lost += len(part)
+
+    def close(self) -> None:
+        if self._file >= 0:
+            os.close(self._file)
+            self._file = -1
+
+
+def directory_of(root: Path, job: str, index: int, attempt: int) -> Path:
+    return root / job / f"{index}.{attempt}"
+
+
+def read(root: Path, job: str, index: int, most_bytes: int) -> tuple[int, bytes] | None:
+    """The newest start of a task: its attempt, and the last bytes of what it wrote. None if there is nothing here."""
+    try:
+        starts = [int(name.partition(".")[2]) for name in os.listdir(root / job) if name.startswith(f"{index}.")]
+    except (OSError, ValueError):
+        return None
+    if not starts:
+        return None
+    place = directory_of(root, job, index, max(starts))
+    data = b""
+    for name in (OLDER, NEWER):
+        with contextlib.suppress(OSError):
+            data += (place / name).read_bytes()
+    return max(starts), data[-most_bytes:]
+
+
+def prune(root: Path, busy: set[Path]) -> None:
+    """Keep the newest; `busy` is in use."""
+    try:
+        places = [(place.stat().st_mtime, place) for job in os.scandir(root) for place in Path(job.path).iterdir()]
+    except OSError:
+        return
+    places.sort()
+    for _, place in places[:max(0, len(places) - KEPT)]:
+        if place not in busy:
+            shutil.rmtree(place, ignore_errors=True)
+            with contextlib.suppress(OSError):
+                place.parent.rmdir()
--- /dev/null
+++ b/tidebend/agent/settings.py
@@ -0,0 +1,38 @@
+"""An agent's own settings, from an HCL file."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+
+from tidebend.access import NotLoopback, loopback
+from tidebend.hcl import File
+from tidebend.messages.agents import Name
+
+
+class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    control: str  # HOST:PORT of the control service
+    key_file: str
+    data: str  # the agent's own directory
+    kind: Name  # one of the control service's machine types
+    label: Annotated[str, msgspec.Meta(max_length=100)] = ""
+    listen: str = "127.0.0.1:0"
+    # ends itself after so many leases in which it heard nothing of the control service; 0: never
+    alone_leases: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+    def place(self) -> Path:
+        return Path(self.data)
+
+
+def load_agent_settings(path: str) -> AgentSettings:
+    """Raises BadFile, which names line, field and what was expected."""
+    file = File(path)
+    settings = file.check(file.values, AgentSettings)
+    for field in ("control", "listen"):
+        try:
+            loopback(getattr(settings, field))
+        except (ValueError, NotLoopback) as error:
+            raise file.error((field,), str(error)) from error
+    return settings
