Control service, local provider and commands: tidebend up runs real tasks on one machine

Need: two commands from the README should make a new user's own tasks run, under the same controllers that serve the deployments, with a truth that survives its own crash.

--- /dev/null
+++ b/tests/test_product.py
@@ -0,0 +1,146 @@
+"""Files and commands as a user meets them: what is wrong is told by line and field, and nothing is lost."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from tidebend.agent.settings import load_agent_settings
+from tidebend.client.jobfile import read_jobs
+from tidebend.control import load_control_settings
+from tidebend.control.settings import State, Times
+from tidebend.hcl import BadFile
+
+ROOT = Path(__file__).resolve().parent.parent
+
+
+def test_the_files_under_deploy_hold_the_defaults():
+    settings = load_control_settings(str(ROOT / "deploy/local.hcl"))
+    assert settings.times == Times() and settings.state == State()
+    assert settings.controller(1, "127.0.0.1").teams["everyone"].cpus_max is None
+    assert load_agent_settings(str(ROOT / "deploy/agent.hcl")).kind == "local"
+    jobs = {job.name: job for job in read_jobs(str(ROOT / "deploy/example-jobs.hcl"))}
+    assert jobs["build"].awaits == (jobs["fetch"].job,) and list(jobs).index("fetch") < list(jobs).index("build")
+    assert jobs["build"].description.bounds.memory_gb == 1
+
+
+MACHINE = 'machine "m" {\n  cpus = 1\n  memory_gb = 1\n}\n'
+WRONG_SETTINGS = [
+    (MACHINE + 'listen = "0.0.0.0:80"\n', "5: listen: 0.0.0.0:80: beyond loopback"),
+    (MACHINE + 'listen = "here"\n', "5: listen: 'here' is not HOST:PORT"),
+    (MACHINE + "times {\n  lease_s = 3\n}\n", "6: times.lease_s: expected at least four times report_s"),
+    (MACHINE + "times {\n  cancel_s = 9\n}\n", "6: times.cancel_s: expected at least 1.5 lease_s"),
+    (MACHINE + "times {\n  report_s = -1\n}\n", "6: times.report_s: Expected `float` > 0"),
+    (MACHINE + "times {\n}\ntimes {\n}\n", "times: expected one block"),
+    (MACHINE + 'state {\n  listen = "10.0.0.1:1"\n}\n', "6: state.listen: 10.0.0.1:1: beyond loopback"),
+    (MACHINE + "speed = 3\n", "5: speed: Object contains unknown field `speed`"),
+    (MACHINE + MACHINE, "machine.m: stands twice"),
+    ('machine "m" {\n  cpus = 1\n}\n', "1: machine.m: Object missing required field `memory_gb`"),
+    ('machine "m" {\n  cpus = 1\n  memory_gb = 1\n  agents = 3\n  most = 2\n}\n', "expected 0 <= agents <= most"),
+    ("machine {\n  cpus = 1\n}\n", 'expected machine "LABEL"'),
+    ("", "expected at least one machine"),
+    ('machine "m" {\n  cpus = = 1\n}\n', "2: not HCL"),
+    (b'zone = "\xff"\n', "1: not UTF-8"),
+]
+
+
+@pytest.mark.parametrize("text, expected", WRONG_SETTINGS)
+def test_wrong_settings_are_told_by_line_and_field(tmp_path, text, expected):
+    path = tmp_path / "control.hcl"
+    path.write_bytes(text.encode() if isinstance(text, str) else text)
+    with pytest.raises(BadFile) as caught:
+        load_control_settings(str(path))
+    assert str(caught.value).startswith(str(path)) and expected in str(caught.value)
+
+
+WRONG_JOBS = [
+    ('job "a" {\n  command = ["x"]\n  tasks = 0\n}\n', "3: job.a.tasks: Expected `int` >= 1"),
+    ('job "a" {\n  command = []\n}\n', "2: job.a.command: Expected `array` of length >= 1"),
+    ('job "a" {\n  command = ["x", 3]\n}\n', "2: job.a.command: Expected `str`, got `int`"),
+    ('job "a" {\n  comand = ["x"]\n}\n', "2: job.a.comand"),
+    ('job "a" {\n  command = ["x"]\n  after = ["b"]\n}\n', "3: job.a.after: 'b' is neither"),
+    ('job "a" {\n  command = ["x"]\n  after = ["a"]\n}\n', "3: job.a.after: these jobs wait for each other"),
+    ('job "s" {\n  command = ["x"]\n  kind = "service"\n}\njob "a" {\n  command = ["x"]\n  after = ["s"]\n}\n',
+     "7: job.a.after: 's' is a service"),
+    ('job "a" {\n  command = ["x"]\n  limits {\n    memory_gb = 0\n  }\n}\n', "4: job.a.limits.memory_gb: Expected"),
+    ('job "a b" {\n  command = ["x"]\n}\n', "1: job.a b: Expected `str` matching"),
+    ("jobs = 3\n", "1: jobs: unknown; expected job"),
+]
+
+
+@pytest.mark.parametrize("text, expected", WRONG_JOBS)
+def test_a_wrong_job_file_is_told_by_line_and_field(tmp_path, text, expected):
+    path = tmp_path / "jobs.hcl"
+    path.write_text(text)
+    with pytest.raises(BadFile) as caught:
+        read_jobs(str(path))
+    assert str(caught.value).startswith(f"{path}:") and expected in str(caught.value)
+
+
+class Service:
+    def __init__(self, directory):
+        self.environment = {**os.environ, "TIDEBEND_DATA": str(directory), "COLUMNS": "200"}
+        self.process = subprocess.Popen([sys.executable, "run.py", "up"], cwd=ROOT, env=self.environment,
+                                        stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+        while "serves on" not in self.process.stdout.readline():
+            assert self.process.poll() is None
+
+    def __call__(self, *words, status=0):
+        done = subprocess.run([sys.executable, "run.py", *words], cwd=ROOT, env=self.environment, capture_output=True,
+                              text=True, timeout=60)
+        assert done.returncode == status, (words, done.stdout, done.stderr)
+        return done.stdout if status == 0 else done.stderr
+
+    def end(self):
+        self.process.send_signal(signal.SIGINT)
+        self.process.communicate(timeout=30)
+        return self.process.returncode
+
+
+@pytest.mark.timeout(120)
+def test_from_the_first_start_to_the_second(tmp_path):
+    service = Service(tmp_path)
+    try:
+        (row,) = json.loads(service("submit", "--json", "--tasks", "3", "--cpus", "0.1", "--wait", "--", "sh", "-c",
+                                    "echo said by $TIDEBEND_TASK"))
+        assert row["state"] == "done" and row["done"] == 3
+        assert service("logs", f"{row['job']}/2") == "said by 2\n"
+        assert row["job"] in service("list") and row["job"] not in service("list", "--state", "cancelled")
+        assert json.loads(service("list", "--json"))[0]["state"] == "done"
+        assert "vm-000001" in service("agents") and "vm-000001" in service("top", "--once")
+        web = service("submit", "--kind", "service", "--cpus", "0.1", "--", "sleep", "1000").split()[0]
+        assert "waiting" not in service("wait", "--timeout", "0.5", web, status=5)
+        # wrong words
+        assert "takes a job FILE" in service("submit", status=2)
+        assert "unknown team" in service("submit", "--team", "nobody", "--", "true", status=4)
+        assert "no allowed machine type fits" in service("submit", "--cpus", "9999", "--", "true", status=4)
+        assert "no such job" in service("status", "req-nothing", status=1)
+        assert "no job req-nothing" in service("logs", "req-nothing", status=1)
+        assert "another process holds it" in service("up", status=2)
+        # keys are made once, rotated without stopping anything, and never shown
+        secret = json.loads((tmp_path / "keys.json").read_text())["keys"][0]["secret"]
+        assert secret not in service("keys", "show") and "is there already" in service("keys", "make", status=3)
+        service("keys", "rotate")
+        time.sleep(1.0)
+        assert service("cancel", web).split()[1] == "cancelled"
+        chain = json.loads(service("submit", "--json", "deploy/example-jobs.hcl"))
+        names = {row["name"]: row["job"] for row in chain}
+        service("wait", "--timeout", "40", names["build"], names["numbers"], names["together"])
+        assert service("logs", names["build"]) == "built for market day\n"
+    finally:
+        assert service.end() == 0
+    left = subprocess.run(["pgrep", "-f", str(tmp_path)], capture_output=True, text=True).stdout
+    assert left == ""
+    assert "refused" in service("list", "--patience", "0.2", status=3)
+    again = Service(tmp_path)
+    try:
+        rows = {row["job"]: row["state"] for row in json.loads(again("list", "--json"))}
+        assert rows[row["job"]] == "done" and rows[web] == "cancelled" and rows[names["web"]] in ("queued", "running")
+        assert again("cancel", names["web"]).split()[1] == "cancelled"
+    finally:
+        again.end()
--- /dev/null
+++ b/tidebend/__main__.py
@@ -0,0 +1,7 @@
+"""`python -m tidebend`."""
+
+import sys
+
+from tidebend.cli import main
+
+sys.exit(main())
--- a/tidebend/cli.py
+++ b/tidebend/cli.py
@@ -1,4 +1,4 @@
-"""The command line."""
+"""The command line. A controller on the platform imports nothing of the control service, agents or clients."""
 
 from __future__ import annotations
 
@@ -10,6 +10,9 @@
 from tidebend import __version__
 from tidebend.settings import SettingsError, load_settings
 
+# for these `tidebend.client` is imported; each has a --help of its own
+PRODUCT = ("up", "control", "agent", "submit", "status", "list", "wait", "logs", "cancel", "agents", "top", "keys")
+
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
 
@@ -17,7 +20,8 @@
     top = argparse.ArgumentParser(
         prog="tidebend",
         description="One controller of a tidebend cluster. Without a command it runs until it is killed.",
-        epilog="LOG_LEVEL in the environment (error, info, debug) says how much is logged to standard error.",
+        epilog="LOG_LEVEL in the environment (error, info, debug) says how much is logged to standard error. "
+               f"On machines of your own: {', '.join(PRODUCT)} (see `tidebend up --help`).",
     )
     top.add_argument("command", nargs="?", choices=["run", "check-config", "format"], default="run",
                      help="run the controller (default), only check the settings, or show the format of records that "
@@ -30,6 +34,11 @@
 
 
 def main(argv: list[str] | None = None) -> int:
+    argv = sys.argv[1:] if argv is None else argv
+    if argv and argv[0] in PRODUCT:
+        from tidebend.client import main as product
+
+        return product(argv)
     arguments = parser().parse_args(argv)
     logging.basicConfig(
         stream=sys.stderr,
--- /dev/null
+++ b/tidebend/client/desk.py
@@ -0,0 +1,103 @@
+"""Calls to the control service, each repeated while the answer is that it can't be known yet."""
+
+from __future__ import annotations
+
+import os
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from tidebend.access import KeyedClient, Keyring
+from tidebend.client.jobfile import Ready
+from tidebend.control.main import ADDRESS, KEYS
+from tidebend.protocol import user as words
+from tidebend.transport import NoAnswer, Unreachable
+
+# how long a request is repeated before it is given up
+PATIENCE_S = 10.0
+ANSWER_S = 10.0
+
+
+class NoControl(Exception):
+    """The control service can't be reached; the text says what was tried."""
+
+
+class NotTaken(Exception):
+    """The control service refuses; the text is its reason."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+def data_directory(given: str | None) -> Path:
+    return Path(given or os.environ.get("TIDEBEND_DATA") or Path.home() / ".tidebend")
+
+
+class Desk:
+    def __init__(self, directory: Path, control: str | None = None, key_file: str | None = None,
+                 patience_s: float = PATIENCE_S) -> None:
+        """Raises NoControl or BadKeys."""
+        self._directory = directory
+        if control is None:
+            try:
+                control = (directory / ADDRESS).read_text().strip()
+            except OSError as error:
+                raise NoControl(f"{directory / ADDRESS}: {error.strerror}: nothing was started there; "
+                                "`tidebend up` does") from error
+        host, _, port = control.rpartition(":")
+        if not port.isdigit():
+            raise NoControl(f"{control!r} is not HOST:PORT")
+        self.address = control
+        self._patience_s = patience_s
+        self._client = KeyedClient((host, int(port)), Keyring(Path(key_file) if key_file else directory / KEYS).shown)
+
+    def call(self, method: str, path: str, body: Any = None) -> Any:
+        """The body of a 200 or 201. Raises NoControl or NotTaken."""
+        deadline = time.monotonic() + self._patience_s
+        while True:
+            try:
+                status, answer = self._client.request(method, path, body, ANSWER_S)
+                text = answer.get("error", "") if isinstance(answer, dict) else ""
+                if status in (200, 201):
+                    return answer
+                if status not in (429, 503, 504):
+                    raise NotTaken(status, text or f"answered with {status}")
+            except (Unreachable, NoAnswer) as error:
+                text = str(error)
+            if time.monotonic() > deadline:
+                raise NoControl(f"{self.address}: {text}")
+            time.sleep(0.25)
+
+    def submit(self, ready: Ready) -> str:
+        """Describe and submit; repeating it is harmless, since the id stays. The job's state."""
+        self.call("POST", f"/desk/descriptions/{ready.job}", msgspec.to_builtins(ready.description))
+        return words.state(self.call("POST", words.PATH_JOBS, words.job(ready.job, ready.spec, ready.awaits)))
+
+    def job(self, job: str) -> dict[str, Any]:
+        return self.call("GET", f"/desk/jobs/{job}")
+
+    def jobs(self, most: int) -> list[dict[str, Any]]:
+        """The newest last."""
+        found: list[dict[str, Any]] = []
+        after = ""
+        while True:
+            page = self.call("GET", f"/desk/jobs?after={after}")
+            found = (found + page["jobs"])[-most:]
+            if not page["more"]:
+                return found
+            after = page["last"]
+
+    def cancel(self, job: str) -> str:
+        return words.state(self.call("POST", f"{words.PATH_JOBS}/{job}/cancel", {}))
+
+    def output(self, job: str, index: int, most: int) -> dict[str, Any]:
+        return self.call("GET", f"/desk/output/{job}/{index}?most={most}")
+
+    def agents(self) -> list[dict[str, Any]]:
+        return self.call("GET", "/desk/agents")["agents"]
+
+    def forget(self, machine: str) -> None:
+        self.call("POST", f"/desk/forget/{machine}", {})
--- /dev/null
+++ b/tidebend/client/jobfile.py
@@ -0,0 +1,117 @@
+"""Job files: HCL, one block a job. What is wrong is told with file, line and field before anything is submitted."""
+
+from __future__ import annotations
+
+import re
+import secrets
+import time
+from typing import Annotated, Literal
+
+import msgspec
+
+from tidebend.hcl import BadFile, File
+from tidebend.messages import Bounds, Description
+from tidebend.messages.descriptions import Amount, Text
+from tidebend.protocol import JobSpec
+
+JobName = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.\-]{0,60}$")]
+# when nobody says how long a task takes; the scheduler learns better from those that finish
+ESTIMATE_S = 60.0
+
+
+class JobBlock(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    command: Annotated[list[Text], msgspec.Meta(min_length=1)]
+    kind: Literal["array", "gang", "service"] = "array"
+    tasks: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1
+    team: str = "everyone"
+    priority: Literal["low", "normal", "high", "production"] = "normal"
+    cpus: Amount = 1.0
+    gpus: Amount = 0.0
+    memory_gb: Amount = 0.25
+    machines: list[str] = []
+    after: list[str] = []  # names of jobs in this file, or ids of others
+    estimate_s: Amount = ESTIMATE_S
+    deadline_s: Amount | None = None
+    environment: dict[str, Text] = {}
+    directory: Text | None = None
+    checkpoints: Text | None = None
+    checkpoint_s: Amount = 0.0
+    save_s: Amount = 0.0
+    output_kb: Annotated[int, msgspec.Meta(ge=1, le=1024 * 1024)] = 1024
+    limits: Bounds = Bounds()
+
+    def spec(self, name: str) -> JobSpec:
+        return JobSpec(job_class=name, team=self.team, kind=self.kind, priority=self.priority, tasks=self.tasks,
+                       cpus=self.cpus, gpus=self.gpus, memory_gb=self.memory_gb, image="none", image_gb=0.0,
+                       types=tuple(self.machines) or None, zone=None, one_zone=False, spread=False, spot=False,
+                       estimate_s=0.0 if self.kind == "service" else self.estimate_s,
+                       checkpoint_s=self.checkpoint_s, save_s=self.save_s, deadline_s=self.deadline_s)
+
+    def description(self) -> Description:
+        return Description(command=self.command, kind=self.kind, tasks=self.tasks, cpus=self.cpus, gpus=self.gpus,
+                           memory_gb=self.memory_gb, environment=self.environment, directory=self.directory,
+                           checkpoints=self.checkpoints, checkpoint_s=self.checkpoint_s, save_s=self.save_s,
+                           bounds=self.limits, output_kb=self.output_kb)
+
+
+class Ready(msgspec.Struct, frozen=True):
+    """A job with its id, as it is going to be submitted."""
+
+    job: str
+    name: str
+    spec: JobSpec
+    description: Description
+    awaits: tuple[str, ...]
+
+
+def new_id(name: str) -> str:
+    """Ids come in the order in which they are made, to the second."""
+    name = re.sub(r"[^A-Za-z0-9_.\-]", "-", name)[:60]
+    return f"req-{time.strftime('%Y%m%dT%H%M%S', time.gmtime())}-{name}-{secrets.token_hex(3)}"
+
+
+def read_jobs(path: str) -> list[Ready]:
+    """The jobs of a file, each after those it waits for. Raises BadFile."""
+    file = File(path)
+    file.only("job")
+    for row in file.values.get("job", []):
+        for label, values in row.items() if isinstance(row, dict) else ():
+            limits = values.get("limits") if isinstance(values, dict) else None
+            if isinstance(limits, list):
+                if len(limits) != 1:
+                    raise file.error(("job", label, "limits"), "expected one block")
+                values["limits"] = limits[0]
+    blocks = file.labelled("job", JobBlock)
+    if not blocks:
+        raise file.error(("job",), 'expected at least one job "NAME" { command = [...] }')
+    ids = {}
+    for name in blocks:
+        try:
+            msgspec.convert(name, JobName)
+        except msgspec.ValidationError as error:
+            raise file.error(("job", name), str(error)) from error
+        ids[name] = new_id(name)
+    ready: dict[str, Ready] = {}
+    while len(ready) < len(blocks):
+        before = len(ready)
+        for name, block in blocks.items():
+            if name in ready or any(other in blocks and other not in ready for other in block.after):
+                continue
+            for other in block.after:
+                if other not in blocks and not other.startswith("req-"):
+                    raise file.error(("job", name, "after"), f"{other!r} is neither a job of this file nor an id")
+                if other in blocks and blocks[other].kind == "service":
+                    raise file.error(("job", name, "after"), f"{other!r} is a service, which never is done")
+            ready[name] = Ready(ids[name], name, block.spec(name), block.description(),
+                                tuple(ids.get(other, other) for other in block.after))
+        if len(ready) == before:
+            name = next(name for name in blocks if name not in ready)
+            raise file.error(("job", name, "after"), "these jobs wait for each other")
+    return list(ready.values())
+
+
+def one_job(block: JobBlock, name: str) -> Ready:
+    return Ready(new_id(name), name, block.spec(name), block.description(), ())
+
+
+__all__ = ["BadFile", "JobBlock", "Ready", "one_job", "read_jobs"]
--- /dev/null
+++ b/tidebend/control/desk.py
@@ -0,0 +1,216 @@
+"""What the control service answers beside the protocol: descriptions, lists, outputs, agents."""
+
+from __future__ import annotations
+
+import logging
+import re
+import time
+from collections.abc import Callable
+from concurrent.futures import TimeoutError as NotYet
+from typing import Any
+from urllib.parse import parse_qs
+
+import msgspec
+
+from tidebend.access import KeyedClient
+from tidebend.control.muster import Musters
+from tidebend.messages import Description, Joined, Joining, Muster
+from tidebend.protocol import is_job_id
+from tidebend.protocol import user as users_words
+from tidebend.provider import JoinRefused, MachineGone, Provider
+from tidebend.service import Controller
+from tidebend.store import Engine, Failed
+from tidebend.store.engine import ConditionFailed, Write
+from tidebend.transport import NoAnswer, Reply, Unreachable
+
+log = logging.getLogger("control")
+
+PREFIX = "/desk/"
+DESCRIPTION = "desk/what/"
+RAN = "desk/ran/"
+DONE_GANG = "desk/gang/"
+
+LATER = {"Retry-After": "1"}
+MOST_LISTED = 200
+OUTPUT_S = 5.0
+# an id that the client makes: the time, so that they come in order of submission, and a random part
+PLACE = re.compile(r"(?P<job>[^/]+)(?:/(?P<index>\d{1,6}))?\Z")
+
+
+class Desk:
+    def __init__(self, engine: Engine, controller: Controller, provider: Provider, terms: Callable[[str], Joined],
+                 connect: Callable[[tuple[str, int]], KeyedClient], gang_peer_s: float) -> None:
+        """`terms` gives what a machine of a name and type is told when it joins."""
+        self._engine = engine
+        self._controller = controller
+        self._provider = provider
+        self._terms = terms
+        self._connect = connect
+        self._musters = Musters(gang_peer_s, self._gang_is_done, self._record_gang_done)
+
+    def route(self, method: str, path: str, body: Callable[[], bytes]) -> Reply:
+        path, _, query = path.partition("?")
+        table, _, rest = path[len(PREFIX):].partition("/")
+        arguments = {key: values[-1] for key, values in parse_qs(query, max_num_fields=16).items()}
+        try:
+            match method, table, bool(rest):
+                case "POST", "descriptions", True:
+                    return self._describe(rest, body())
+                case "GET", "descriptions", True:
+                    return self._description(rest, arguments.get("machine", ""))
+                case "GET", "jobs", False:
+                    return self._list(arguments)
+                case "GET", "jobs", True:
+                    return self._job(rest)
+                case "GET", "output", True:
+                    return self._output(rest, arguments)
+                case "GET", "agents", False:
+                    return Reply(200, {"agents": self._agents()})
+                case "POST", "agents", False:
+                    return self._join(body())
+                case "POST", "forget", True:
+                    gone = self._provider.forget(rest)
+                    return Reply(200, {}) if gone else Reply(404, {"error": f"no machine {rest}"})
+                case "POST", "muster", False:
+                    told = msgspec.json.decode(body(), type=Muster)
+                    return Reply(200, msgspec.to_builtins(self._musters.tell(told)))
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            return Reply(400, {"error": str(error)})
+        except (Failed, ConditionFailed, NotYet) as error:
+            return Reply(503, {"error": f"not recorded: {error}"}, LATER)
+        return Reply(404, {"error": "no such path"})
+
+    # Descriptions
+
+    def _describe(self, job: str, raw: bytes) -> Reply:
+        """Recorded once; the same again is fine, another under the same id is refused."""
+        if not is_job_id(job):
+            return Reply(400, {"error": "not a job id"})
+        value = msgspec.json.encode(msgspec.json.decode(raw, type=Description))
+        try:
+            self._engine.transact({DESCRIPTION + job: 0}, [Write(DESCRIPTION + job, value)])
+        except ConditionFailed:
+            item, _ = self._engine.get(DESCRIPTION + job)
+            if item is None or msgspec.json.encode(msgspec.convert(item.value, Description)) != value:
+                return Reply(409, {"error": f"{job} is described otherwise"})
+            return Reply(200, {})
+        return Reply(201, {})
+
+    def _description(self, job: str, machine: str) -> Reply:
+        item, _ = self._engine.get(DESCRIPTION + job)
+        if item is None:
+            return Reply(404, {"error": f"{job} isn't described"})
+        if machine:
+            # who asks is about to run some of it: that is where its output will be
+            with_machine = RAN + f"{job}/{machine}"
+            if self._engine.get(with_machine)[0] is None:
+                self._engine.transact({}, [Write(with_machine, b"1")])
+        return Reply(200, item.value)
+
+    # Jobs
+
+    def _list(self, arguments: dict[str, str]) -> Reply:
+        most = min(MOST_LISTED, int(arguments["most"]) if arguments.get("most", "").isdigit() else MOST_LISTED)
+        rows, more, _ = self._engine.items(DESCRIPTION, DESCRIPTION + arguments.get("after", ""), most, 1 << 20)
+        found = []
+        for row in rows:
+            job = row.key[len(DESCRIPTION):]
+            reply = self._controller.users.poll(job)
+            if reply.status == 503:
+                return reply
+            if reply.status == 200:  # a description may be there before its job, or without one
+                found.append(self._row(job, reply.body, row.value))
+        last = rows[-1].key[len(DESCRIPTION):] if rows else ""
+        return Reply(200, {"jobs": found, "more": more, "last": last})
+
+    def _job(self, job: str) -> Reply:
+        reply = self._controller.users.poll(job)
+        if reply.status != 200:
+            return reply
+        item, _ = self._engine.get(DESCRIPTION + job)
+        row = self._row(job, reply.body, item.value if item else {})
+        live = self._controller.book.get(job)
+        if live is not None:
+            row["waits_for"] = list(live.awaits)
+            row["places"] = [{"machine": claim.machine, "tasks": claim.tasks.bit_count()} for claim in live.claims]
+            row["team"], row["priority"] = live.spec.team, live.spec.priority
+        return Reply(200, row)
+
+    @staticmethod
+    def _row(job: str, body: dict[str, Any], description: dict[str, Any]) -> dict[str, Any]:
+        state = users_words.state(body)
+        tasks = description.get("tasks", 1)
+        return {"job": job, "state": state, "kind": description.get("kind", "array"), "tasks": tasks,
+                "done": tasks if state == "done" else body.get("done", 0), "running": body.get("running", 0),
+                "command": description.get("command", [])}
+
+    # Outputs
+
+    def _output(self, place: str, arguments: dict[str, str]) -> Reply:
+        """The newest start's output of a task, from whichever agent of its job has it."""
+        match = PLACE.match(place)
+        if match is None:
+            return Reply(400, {"error": "expected JOB/TASK"})
+        job, index = match["job"], int(match["index"] or 0)
+        under = f"{RAN}{job}/"
+        rows, _, _ = self._engine.items(under, under, 1000, 1 << 20)
+        machines = [row.key[len(under):] for row in rows]
+        if not machines and self._engine.get(DESCRIPTION + job)[0] is None:
+            return Reply(404, {"error": f"no job {job}"})
+        newest: dict[str, Any] | None = None
+        silent = []
+        for machine in machines:
+            address = self.address_of(machine)
+            if address is None:
+                continue
+            path = f"/output/{job}/{index}?most={arguments.get('most', '')}"
+            try:
+                status, body = self._connect(address).request("GET", path, None, OUTPUT_S)
+            except (Unreachable, NoAnswer):
+                silent.append(machine)
+                continue
+            if status == 200 and (newest is None or body["attempt"] > newest["attempt"]):
+                newest = {**body, "machine": machine}
+        if newest is None:
+            if silent:
+                return Reply(503, {"error": f"{', '.join(silent)}: no answer"}, LATER)
+            return Reply(404, {"error": f"no output of {job}/{index}: it hasn't started, or is too long ago"})
+        return Reply(200, newest)
+
+    # Agents
+
+    def address_of(self, machine: str) -> tuple[str, int] | None:
+        with self._controller.fleet.lock:
+            known = self._controller.fleet.machines.get(machine)
+            return known.address if known else None
+
+    def _agents(self) -> list[dict[str, Any]]:
+        now = time.monotonic()
+        rows = []
+        for name, machine in sorted(self._provider.machines().items()):
+            with self._controller.fleet.lock:
+                known = self._controller.fleet.machines.get(name)
+                heard = round(now - known.heard, 1) if known else None
+                tasks = [task for task in known.tasks.values() if task.state != "ended"] if known else []
+                session = known.session if known else 0
+            rows.append({"machine": name, "kind": machine.kind, "label": machine.label, "here": machine.here,
+                         "heard_s_ago": heard, "session": session, "tasks": len(tasks)})
+        return rows
+
+    def _join(self, raw: bytes) -> Reply:
+        asked = msgspec.json.decode(raw, type=Joining)
+        try:
+            name = self._provider.join(asked.nonce, asked.kind, asked.label, asked.left)
+        except MachineGone as error:
+            return Reply(410, {"error": str(error)})
+        except JoinRefused as error:
+            return Reply(409, {"error": str(error)})
+        return Reply(200, msgspec.to_builtins(msgspec.structs.replace(self._terms(asked.kind), machine=name)))
+
+    # Gangs
+
+    def _gang_is_done(self, job: str, attempt: int) -> bool:
+        return self._engine.get(f"{DONE_GANG}{job}/{attempt}")[0] is not None
+
+    def _record_gang_done(self, job: str, attempt: int) -> None:
+        self._engine.transact({}, [Write(f"{DONE_GANG}{job}/{attempt}", b"1")])
--- /dev/null
+++ b/tidebend/control/main.py
@@ -0,0 +1,159 @@
+"""Wiring of the control service: what is started in which order, and how it ends."""
+
+from __future__ import annotations
+
+import json
+import logging
+import signal
+import socket
+import threading
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from tidebend.access import Gate, KeyedClient, Keyring, loopback, make_ring
+from tidebend.control.desk import PREFIX, Desk
+from tidebend.control.settings import CONTROLLER, ControlSettings
+from tidebend.messages import Joined
+from tidebend.provider import AgentProcesses, Provider
+from tidebend.service import Controller
+from tidebend.settings import Limits
+from tidebend.store import Direct, Engine, StateService
+from tidebend.transport import Reply
+
+log = logging.getLogger("control")
+
+KEYS, ADDRESS, STATE, AGENTS = "keys.json", "address", "state", "agents"
+STACK_BYTES = 256 * 1024
+BODY_S = 10.0
+
+
+class PortTaken(Exception):
+    """The address can't be listened on; the text says which and why."""
+
+
+class Control:
+    def __init__(self, settings: ControlSettings, directory: Path) -> None:
+        """Raises Held, Damaged, Failed, BadKeys or PortTaken; nothing is changed then."""
+        self.settings = settings
+        self.directory = directory
+        self.engine = Engine(directory / STATE)
+        try:
+            self._wire()
+        except BaseException:
+            self.engine.close()
+            raise
+
+    def _wire(self) -> None:
+        settings, directory = self.settings, self.directory
+        keys = directory / KEYS
+        if not keys.exists():
+            make_ring(keys)
+        self.ring = Keyring(keys)
+        state = settings.state
+        limits = Limits(state.requests_per_s, state.changes_per_s, int(state.value_kb * 1024),
+                        state.changes_a_transaction)
+        self.state = StateService(self.engine, limits)
+        self.gate = self._gate(self._place(), lambda *_: Reply(503, {"error": "starting"}, {"Retry-After": "1"}))
+        host, port = self.gate.server_address[:2]
+        self.address = f"{host}:{port}"
+        own = settings.controller(port, host)
+        processes = AgentProcesses(directory / AGENTS, self.address, keys.absolute(), settings.agents_alone_leases)
+        self.provider = Provider(self.engine, settings.zone, settings.machines, processes, self._connect,
+                                 lambda name: self.desk.address_of(name))
+        self.controller = Controller(own, self._connector(own.state, own.cloud))
+        self.desk = Desk(self.engine, self.controller, self.provider, self._terms, self._connect,
+                         settings.times.gang_peer_s)
+        self.state_gate = None
+        if state.listen:
+            self.state_gate = self._gate(loopback(state.listen), self._state_route)
+
+    def _place(self) -> tuple[str, int]:
+        """Where to listen: as set, else where we were before, so that agents which outlived us find us again."""
+        host, port = loopback(self.settings.listen)
+        known = self.directory / ADDRESS
+        if port == 0 and known.exists():
+            before, _, text = known.read_text().strip().rpartition(":")
+            if before == host and text.isdigit():
+                return host, int(text)
+        return host, port
+
+    def _gate(self, address: tuple[str, int], route: Callable[..., Reply]) -> Gate:
+        try:
+            return Gate(address, route, self.ring, 2.0 * self.settings.times.lease_s, BODY_S,
+                        self.settings.connections)
+        except (OSError, socket.gaierror) as error:
+            raise PortTaken(f"{address[0]}:{address[1]}: {error.strerror or error}; set another `listen`, or 0 for a "
+                            "free port") from error
+
+    def _connect(self, address: tuple[str, int], keep: int = 1) -> KeyedClient:
+        return KeyedClient(address, self.ring.shown, keep)
+
+    def _connector(self, state: tuple[str, int], cloud: tuple[str, int]) -> Callable[..., Any]:
+        """What the controller has for clients: state service and cloud are in this process, agents are not."""
+        inside = {state: Direct(self.state), cloud: self.provider}
+
+        def connect(address: tuple[str, int], keep: int = 4) -> Any:
+            return inside.get(address) or self._connect(address, keep)
+
+        return connect
+
+    def _terms(self, kind: str) -> Joined:
+        times, amounts = self.settings.times, self.provider.terms(kind)
+        return Joined("", self.settings.zone, times.report_s, times.lease_s, times.gang_wait_s, times.gang_peer_s,
+                      amounts.cpus, amounts.gpus, amounts.memory_gb, {CONTROLLER: self.address})
+
+    def _route(self, method: str, path: str, body: Callable[[], bytes]) -> Reply:
+        if path.startswith(PREFIX):
+            return self.desk.route(method, path, body)
+        return self.controller.route(method, path, body)
+
+    def _state_route(self, method: str, path: str, body: Callable[[], bytes]) -> Reply:
+        raw = body()
+        try:
+            status, answer = self.state.handle(method, path, json.loads(raw) if raw else None)
+        except ValueError:
+            return Reply(400, {"error": "not JSON"})
+        except TimeoutError:
+            return Reply(503, {"error": "the outcome isn't known"})
+        return Reply(status, answer)
+
+    def start(self) -> None:
+        self.controller.begin()
+        self.gate.route = self._route
+        for gate in (self.gate, self.state_gate):
+            if gate is not None:
+                threading.Thread(target=gate.serve_forever, kwargs={"poll_interval": 1.0}, name="door",
+                                 daemon=True).start()
+        # only once it is served there: whoever reads it finds us
+        beside = self.directory / f"{ADDRESS}.new"
+        beside.write_text(self.address + "\n")
+        beside.replace(self.directory / ADDRESS)
+        self.provider.start()
+        log.info("the control service listens on %s, its data is in %s", self.address, self.directory)
+
+    def end(self) -> None:
+        """Agents here first, while they can still report; then the door, then the store."""
+        self.provider.end()
+        self.gate.shutdown()
+        self.gate.server_close()
+        if self.state_gate is not None:
+            self.state_gate.shutdown()
+            self.state_gate.server_close()
+        self.engine.close()
+
+
+def run_control(settings: ControlSettings, directory: Path, ready: Callable[[Control], None] | None = None) -> int:
+    """Until SIGTERM or SIGINT; the exit status. `ready` is called once it serves. Raises what Control does."""
+    threading.stack_size(STACK_BYTES)
+    ended = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: ended.set())
+    control = Control(settings, directory)
+    control.start()
+    if ready is not None:
+        ready(control)
+    ended.wait()
+    log.info("ending: agents first")
+    control.end()
+    return 0
--- /dev/null
+++ b/tidebend/logs.py
@@ -0,0 +1,33 @@
+"""Structured logs to standard error: lines for people, or JSON with `LOG_FORMAT=json`.
+
+For the control service, agents and clients; a controller on the platform (`run`) keeps to plain lines.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+import sys
+
+import structlog
+
+LEVELS = {"error": logging.ERROR, "warning": logging.WARNING, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def configure(**bound: str) -> None:
+    """`bound` is said with each line: which machine or service it comes from."""
+    def add(_: object, __: str, event: dict) -> dict:
+        return {**event, **bound}
+
+    shared = [structlog.stdlib.add_log_level, structlog.stdlib.add_logger_name,
+              structlog.processors.TimeStamper(fmt="iso", utc=True), add]
+    if os.environ.get("LOG_FORMAT") == "json":
+        shown = [structlog.processors.format_exc_info, structlog.processors.JSONRenderer()]
+    else:
+        shown = [structlog.dev.ConsoleRenderer(colors=sys.stderr.isatty(), pad_event_to=0)]
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(structlog.stdlib.ProcessorFormatter(
+        foreign_pre_chain=shared, processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, *shown]))
+    root = logging.getLogger()
+    root.handlers = [handler]
+    root.setLevel(LEVELS.get(os.environ.get("LOG_LEVEL", "info").lower(), logging.INFO))
--- /dev/null
+++ b/tidebend/provider/agents.py
@@ -0,0 +1,158 @@
+"""Agents as processes of this machine: how they are started, found again, and ended with all that they ran."""
+
+from __future__ import annotations
+
+import json
+import logging
+import os
+import signal
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from tidebend.agent import Diary, end_leftovers
+from tidebend.agent.diary import BadDiary, Begun
+from tidebend.agent.processes import is_there
+from tidebend.store.disk import DirectoryLock, Held
+
+log = logging.getLogger("provider")
+
+MOST_LOG_BYTES = 1024 * 1024
+# an agent that ends at once again and again is started at growing intervals, up to this one
+LONGEST_PAUSE_S = 30.0
+SETTLED_S = 20.0
+
+
+@dataclass
+class _Started:
+    process: subprocess.Popen
+    at: float
+    pause: float
+
+
+class AgentProcesses:
+    """Whether an agent is there is told by the lock on its directory, which the kernel frees when it ends."""
+
+    def __init__(self, root: Path, control: str, key_file: Path, alone_leases: float) -> None:
+        self._root = root
+        self._control = control
+        self._key_file = key_file
+        self._alone_leases = alone_leases
+        self._lock = threading.Lock()
+        self._started: dict[str, _Started] = {}
+
+    def directory(self, name: str) -> Path:
+        return self._root / name
+
+    def keep_up(self, name: str, kind: str, nonce: str) -> None:
+        """Start it unless it is there."""
+        now = time.monotonic()
+        with self._lock:
+            started = self._started.get(name)
+        if started is not None:
+            if started.process.poll() is None:
+                return
+            if now - started.at > SETTLED_S:
+                started.pause = 0.5
+            if now - started.at < started.pause:
+                return
+            log.warning("agent %s has ended (%s): starting it again", name, started.process.returncode)
+        elif not self._free(name):
+            return  # one that was started before us goes on
+        pause = min(LONGEST_PAUSE_S, 2.0 * started.pause) if started else 0.5
+        process = self._start(name, kind, nonce)
+        with self._lock:
+            self._started[name] = _Started(process, now, pause)
+
+    def _free(self, name: str) -> bool:
+        try:
+            DirectoryLock(self.directory(name)).release()
+        except Held:
+            return False
+        return True
+
+    def _start(self, name: str, kind: str, nonce: str) -> subprocess.Popen:
+        directory = self.directory(name)
+        directory.mkdir(parents=True, exist_ok=True, mode=0o700)
+        diary = Diary(directory)
+        if not diary.fact("nonce"):
+            diary.note(nonce=nonce, session="0", token="0")
+        diary.close()
+        settings = directory / "agent.hcl"
+        rows = {"control": self._control, "key_file": str(self._key_file), "data": str(directory), "kind": kind,
+                "label": name, "alone_leases": self._alone_leases}
+        text = "".join(f"{key} = {json.dumps(value)}\n" for key, value in rows.items())
+        settings.write_text(text.replace("${", "$${").replace("%{", "%%{"))
+        place = directory / "agent.log"
+        if place.exists() and place.stat().st_size > MOST_LOG_BYTES:
+            place.replace(directory / "agent.log.1")
+        environment = {**os.environ, "PYTHONPATH": os.pathsep.join(part for part in sys.path if part)}
+        fault = environment.pop("TIDEBEND_AGENT_FAULT", "")
+        environment.pop("TIDEBEND_FAULT", None)  # a fault of ours is none of the agent's
+        if fault:
+            environment["TIDEBEND_FAULT"] = fault
+            del os.environ["TIDEBEND_AGENT_FAULT"]  # for one agent, once
+        with open(place, "ab") as out:
+            # in a session of its own: it outlives us, and Ctrl-C at our terminal is ours alone
+            return subprocess.Popen([sys.executable, "-m", "tidebend", "agent", "--config", str(settings)],
+                                    stdin=subprocess.DEVNULL, stdout=out, stderr=out, env=environment,
+                                    start_new_session=True)
+
+    def end(self, name: str, timeout: float = 10.0) -> bool:
+        """End it and all that it ran; True once that is certain, and it won't come back."""
+        deadline = time.monotonic() + timeout
+        while True:
+            try:
+                lock = DirectoryLock(self.directory(name))
+                break
+            except Held:
+                self._signal(name, signal.SIGKILL)
+                if time.monotonic() > deadline:
+                    return False
+                time.sleep(0.02)
+        try:
+            diary = Diary(self.directory(name))
+            try:
+                # one that was started but hasn't got as far as its lock finds this and ends
+                diary.note(gone="1")
+                gone = end_leftovers(diary, timeout)
+            finally:
+                diary.close()
+        except BadDiary as error:
+            log.error("agent %s: %s", name, error)
+            return False
+        finally:
+            lock.release()
+        with self._lock:
+            started = self._started.pop(name, None)
+        if started is not None:
+            started.process.wait(5.0)
+        return gone
+
+    def _signal(self, name: str, number: int) -> None:
+        """To the agent's process, whether we started it or one before us did."""
+        with self._lock:
+            started = self._started.get(name)
+        if started is not None and started.process.poll() is None:
+            started.process.send_signal(number)
+            return
+        diary = Diary(self.directory(name))
+        pid, since, boot = diary.fact("pid"), diary.fact("started"), diary.fact("boot")
+        diary.close()
+        if pid and is_there(Begun("", "agent", int(pid), int(since), boot)):
+            os.kill(int(pid), number)
+
+    def end_in_order(self, names: list[str], timeout: float = 10.0) -> None:
+        """Tell agents to end; they end their tasks first. They come back, as the same machines, when started again."""
+        for name in names:
+            self._signal(name, signal.SIGTERM)
+        deadline = time.monotonic() + timeout
+        for name in names:
+            while not self._free(name):
+                if time.monotonic() > deadline:
+                    log.error("agent %s doesn't end", name)
+                    break
+                time.sleep(0.02)
