TLS beyond loopback: an authority of one's own, both sides checked

Need: agents on other machines; beyond loopback nothing may listen or be called without TLS, since the key would travel in the clear.

Change: tidebend certs make and show (cryptography), a tls block in the control service's and agents' settings, contexts in the gate and the clients. The handshake is done by the connection's own thread, so that one who never begins it is a guest like others. A setting that would listen beyond loopback without TLS is refused with line and reason.

Result: tests of a foreign authority, a certificate for another host, a wrong key inside TLS and a hundred silent connections; up with TLS runs a task end to end.

--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -7,8 +7,19 @@
 
 import pytest
 
-from tidebend.access import BadKeys, Gate, KeyedClient, Keyring, NotLoopback, loopback, make_ring, rotate_ring
-from tidebend.transport import HttpClient, Reply
+from tidebend.access import (
+    BadCertificate,
+    BadKeys,
+    Gate,
+    KeyedClient,
+    Keyring,
+    NotLoopback,
+    make_certificate,
+    make_ring,
+    rotate_ring,
+    safe_place,
+)
+from tidebend.transport import HttpClient, NoAnswer, Reply, Unreachable
 
 
 @pytest.fixture
@@ -107,13 +118,47 @@
     assert not door.served
 
 
-@pytest.mark.parametrize("text", ["0.0.0.0:1", "192.168.1.1:80", "[::]:80", "example.org:80"])
+@pytest.mark.parametrize("text", ["192.168.1.1:80", "10.0.0.1:0", "example.org:80"])
 def test_beyond_loopback_nothing_listens(text):
     with pytest.raises(NotLoopback, match="without TLS"):
-        loopback(text)
+        safe_place(text, tls=False)
 
 
-@pytest.mark.parametrize("text", ["127.0.0.1", ":80", "127.0.0.1:x", "127.0.0.1:70000"])
+@pytest.mark.parametrize("text", ["127.0.0.1", ":80", "127.0.0.1:x", "127.0.0.1:70000", "0.0.0.0:1", "[::1]:80",
+                                  "1.2:80"])
 def test_what_is_no_address_is_told(text):
     with pytest.raises(ValueError):
-        loopback(text)
+        safe_place(text, tls=True)
+
+
+def test_inside_tls_both_sides_are_checked(tmp_path):
+    tls = make_certificate(tmp_path / "ours", "server", ["127.0.0.1"])
+    elsewhere = make_certificate(tmp_path / "ours", "other", ["10.0.0.1"])
+    foreign = make_certificate(tmp_path / "foreign", "server", ["127.0.0.1"])
+    make_ring(tmp_path / "keys")
+    ring = Keyring(tmp_path / "keys")
+    gates = {}
+    for name, shown in (("right", tls), ("elsewhere", elsewhere)):
+        gates[name] = Gate(("127.0.0.1", 0), lambda *_: Reply(200, {}), ring, 20.0, 1.0, 40, shown.server())
+        threading.Thread(target=gates[name].serve_forever, daemon=True).start()
+    try:
+        def ask(gate, key, trusted):
+            address = gates[gate].server_address[:2]
+            return KeyedClient(address, lambda: key, tls=trusted and trusted.client()).request("GET", "/x")[0]
+
+        assert ask("right", ring.shown(), tls) == 200
+        assert ask("right", "wrong", tls) == 401
+        for gate, trusted in (("right", foreign), ("right", None), ("elsewhere", tls)):
+            with pytest.raises((Unreachable, NoAnswer)):
+                ask(gate, ring.shown(), trusted)
+        silent = [raw(gates["right"], "") for _ in range(100)]  # no handshake: guests like others
+        assert ask("right", ring.shown(), tls) == 200
+        for stream in silent:
+            stream.close()
+    finally:
+        for gate in gates.values():
+            gate.shutdown()
+            gate.server_close()
+    os.chmod(tls.key, 0o644)
+    with pytest.raises(BadCertificate, match="others can read"):
+        tls.server()
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -11,6 +11,7 @@
 import pytest
 
 from tidebend.agent.settings import load_agent_settings
+from tidebend.client import main
 from tidebend.client.jobfile import read_jobs
 from tidebend.control import load_control_settings
 from tidebend.control.settings import State, Times
@@ -31,7 +32,8 @@
 
 MACHINE = 'machine "m" {\n  cpus = 1\n  memory_gb = 1\n}\n'
 WRONG_SETTINGS = [
-    (MACHINE + 'listen = "0.0.0.0:80"\n', "5: listen: 0.0.0.0:80: beyond loopback"),
+    (MACHINE + 'listen = "10.0.0.1:80"\n', "5: listen: 10.0.0.1:80: beyond loopback"),
+    (MACHINE + 'listen = "0.0.0.0:80"\n', "5: listen: 0.0.0.0:80: name one address"),
     (MACHINE + 'listen = "here"\n', "5: listen: 'here' is not HOST:PORT"),
     (MACHINE + "times {\n  lease_s = 3\n}\n", "6: times.lease_s: expected at least four times report_s"),
     (MACHINE + "times {\n  cancel_s = 9\n}\n", "6: times.cancel_s: expected at least 1.5 lease_s"),
@@ -83,9 +85,9 @@
 
 
 class Service:
-    def __init__(self, directory):
+    def __init__(self, directory, *words):
         self.environment = {**os.environ, "TIDEBEND_DATA": str(directory), "COLUMNS": "200"}
-        self.process = subprocess.Popen([sys.executable, "run.py", "up"], cwd=ROOT, env=self.environment,
+        self.process = subprocess.Popen([sys.executable, "run.py", "up", *words], cwd=ROOT, env=self.environment,
                                         stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
         while "serves on" not in self.process.stdout.readline():
             assert self.process.poll() is None
@@ -144,3 +146,22 @@
         assert again("cancel", names["web"]).split()[1] == "cancelled"
     finally:
         again.end()
+
+
+@pytest.mark.timeout(60)
+def test_everything_inside_tls(tmp_path):
+    assert main(["certs", "make", "--data", str(tmp_path), "--host", "127.0.0.1"]) == 0
+    rows = "\n".join(f'  {key} = "{tmp_path}/tls/{file}"' for key, file in
+                     (("authority", "authority.pem"), ("certificate", "server.pem"), ("key", "server.key")))
+    machine = MACHINE.replace("cpus = 1", "cpus = 1\n  agents = 1")
+    (tmp_path / "control.hcl").write_text(f"{machine}tls {{\n{rows}\n}}\n")
+    service = Service(tmp_path)
+    try:
+        (row,) = json.loads(service("submit", "--json", "--wait", "--timeout", "30", "--", "echo", "inside"))
+        assert row["state"] == "done" and service("logs", row["job"]) == "inside\n"
+        address, other = (tmp_path / "address").read_text().split()[0], tmp_path / "o/tls/authority.pem"
+        assert main(["certs", "make", "--data", str(tmp_path / "o"), "--host", "127.0.0.1"]) == 0
+        assert "CERTIFICATE_VERIFY_FAILED" in service("list", "--control", address, "--authority", str(other),
+                                                      "--patience", "0.2", status=3)
+    finally:
+        assert service.end() == 0
--- a/tidebend/access/client.py
+++ b/tidebend/access/client.py
@@ -1,7 +1,9 @@
-"""A client that shows a key with each request."""
+"""A client that shows a key with each request, inside TLS where there is a context for it."""
 
 from __future__ import annotations
 
+import http.client
+import ssl
 from collections.abc import Callable
 
 from tidebend.transport import HttpClient
@@ -11,9 +13,16 @@
 
 
 class KeyedClient(HttpClient):
-    def __init__(self, address: tuple[str, int], shown: Callable[[], str], keep: int = 4) -> None:
+    def __init__(self, address: tuple[str, int], shown: Callable[[], str], keep: int = 4,
+                 tls: ssl.SSLContext | None = None) -> None:
         super().__init__(address, keep)
         self._shown = shown
+        self._tls = tls
+
+    def _connection(self, timeout: float) -> http.client.HTTPConnection:
+        if self._tls is None:
+            return super()._connection(timeout)
+        return http.client.HTTPSConnection(*self.address, timeout=timeout, context=self._tls)
 
     def _headers(self, with_body: bool) -> dict[str, str]:
         return {**super()._headers(with_body), HEADER: SCHEME + self._shown()}
--- a/tidebend/access/gate.py
+++ b/tidebend/access/gate.py
@@ -9,6 +9,7 @@
 
 import logging
 import socket
+import ssl
 import threading
 import time
 from typing import Any
@@ -50,8 +51,9 @@
 
 class Gate(Server):
     def __init__(self, address: tuple[str, int], route: Route, ring: Keyring, idle_s: float, body_s: float,
-                 most: int) -> None:
+                 most: int, tls: ssl.SSLContext | None = None) -> None:
         self.ring = ring
+        self._tls = tls
         self.refused = 0
         self._hello_s = body_s
         self._whole_s = body_s
@@ -68,6 +70,13 @@
     def port(self) -> int:
         return self.server_address[1]
 
+    def get_request(self) -> tuple[Any, Any]:
+        connection, address = super().get_request()
+        if self._tls is not None:
+            # the handshake is done by the connection's own thread, with its first read
+            connection = self._tls.wrap_socket(connection, server_side=True, do_handshake_on_connect=False)
+        return connection, address
+
     def process_request(self, request: Any, client_address: Any) -> None:
         with self._tables:
             oldest = next(iter(self._guests)) if len(self._guests) >= self._most_guests else None
@@ -127,6 +136,7 @@
 def _hang_up(connection: socket.socket) -> None:
     """Its thread finds the end of the stream and closes it."""
     try:
-        connection.shutdown(socket.SHUT_RDWR)
+        # of the socket below: an end of TLS would wait for the other side
+        socket.socket.shutdown(connection, socket.SHUT_RDWR)
     except OSError:
         return
--- a/tidebend/access/keys.py
+++ b/tidebend/access/keys.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+from tidebend.access.files import write_private
+
 # a file that changed is read again after this long at the latest
 LOOK_S = 0.5
 
@@ -61,19 +63,7 @@
 
 
 def _write(path: Path, keys: list[Key]) -> None:
-    """Whole or not at all, and only its owner can read it at any moment."""
-    beside = path.with_name(f"{path.name}.{secrets.token_hex(4)}")
-    file = os.open(beside, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
-    with os.fdopen(file, "wb") as out:
-        out.write(msgspec.json.format(msgspec.json.encode(_File(keys)), indent=2) + b"\n")
-        out.flush()
-        os.fsync(out.fileno())
-    os.replace(beside, path)
-    folder = os.open(path.parent, os.O_RDONLY)
-    try:
-        os.fsync(folder)
-    finally:
-        os.close(folder)
+    write_private(path, msgspec.json.format(msgspec.json.encode(_File(keys)), indent=2) + b"\n")
 
 
 def make_ring(path: Path) -> Key:
--- a/tidebend/agent/link.py
+++ b/tidebend/agent/link.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from tidebend.access import KeyedClient, Keyring
+from tidebend.access import KeyedClient, Keyring, Tls, place
 from tidebend.agent.worker import Worker
 from tidebend.messages import Description, Joined, Joining, Muster, Mustered
 from tidebend.protocol.worker import ELSEWHERE, PATH_REPORT, elsewhere, parse_answer
@@ -55,8 +55,9 @@
 
 
 class Link:
-    def __init__(self, ring: Keyring, terms: Joined) -> None:
+    def __init__(self, ring: Keyring, terms: Joined, tls: Tls | None) -> None:
         self._ring = ring
+        self._tls = tls.client() if tls else None
         self._terms = terms
         self._clients = {name: self._client(address) for name, address in terms.controllers.items()}
         self._names = list(self._clients)
@@ -67,8 +68,7 @@
         self._ended = threading.Event()
 
     def _client(self, address: str) -> KeyedClient:
-        host, _, port = address.rpartition(":")
-        return KeyedClient((host, int(port)), self._ring.shown, keep=2)
+        return KeyedClient(place(address), self._ring.shown, 2, self._tls)
 
     def start(self, worker: Worker) -> None:
         for target in (self._report, self._describe, self._muster):
--- a/tidebend/agent/main.py
+++ b/tidebend/agent/main.py
@@ -10,7 +10,7 @@
 import uuid
 from pathlib import Path
 
-from tidebend.access import Gate, KeyedClient, Keyring
+from tidebend.access import Gate, KeyedClient, Keyring, place
 from tidebend.agent import doors
 from tidebend.agent.diary import Diary
 from tidebend.agent.link import Gone, Link, Refused, join
@@ -80,10 +80,10 @@
     if terms is None:
         return False
     diary.note(machine=terms.machine, left="")
-    link = Link(ring, terms)
+    link = Link(ring, terms, settings.tls)
     # the port is known before the first report is made, and the routes once there is a worker
-    gate = Gate(_address(settings.listen), lambda *_: Reply(503, {"error": "starting"}), ring, 2 * terms.lease_s,
-                min(5.0, terms.lease_s / 2), MOST_CONNECTIONS)
+    gate = Gate(place(settings.listen), lambda *_: Reply(503, {"error": "starting"}), ring, 2 * terms.lease_s,
+                min(5.0, terms.lease_s / 2), MOST_CONNECTIONS, settings.tls.server() if settings.tls else None)
     worker = Worker(settings.place(), diary, terms, f"{gate.server_address[0]}:{gate.port}", settings.kind,
                     lambda _: link.fetch_wanted.set(), link.muster_wanted.set, link.changed.set)
     gate.route = doors.route(worker)
@@ -108,7 +108,7 @@
 
 def _join(settings: AgentSettings, ring: Keyring, nonce: str, left: list[str],
           ended: threading.Event) -> Joined | None:
-    client = KeyedClient(_address(settings.control), ring.shown, keep=1)
+    client = KeyedClient(place(settings.control), ring.shown, 1, settings.tls.client() if settings.tls else None)
     since = time.monotonic()
     while not ended.is_set():
         terms = join(client, Joining(nonce, settings.kind, settings.label or os.uname().nodename, left))
@@ -120,9 +120,4 @@
     return None
 
 
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    return host, int(port)
-
-
 __all__ = ["Refused", "run_agent"]
--- a/tidebend/agent/settings.py
+++ b/tidebend/agent/settings.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from tidebend.access import NotLoopback, loopback
+from tidebend.access import NotLoopback, Tls, safe_place
 from tidebend.hcl import File
 from tidebend.messages.agents import Name
 
@@ -21,6 +21,7 @@
     listen: str = "127.0.0.1:0"
     # ends itself after so many leases in which it heard nothing of the control service; 0: never
     alone_leases: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    tls: Tls | None = None
 
     def place(self) -> Path:
         return Path(self.data)
@@ -29,10 +30,13 @@
 def load_agent_settings(path: str) -> AgentSettings:
     """Raises BadFile, which names line, field and what was expected."""
     file = File(path)
-    settings = file.check(file.values, AgentSettings)
+    values = dict(file.values)
+    if "tls" in values:
+        values["tls"] = file.block("tls", Tls)
+    settings = file.check(values, AgentSettings)
     for field in ("control", "listen"):
         try:
-            loopback(getattr(settings, field))
+            safe_place(getattr(settings, field), settings.tls is not None)
         except (ValueError, NotLoopback) as error:
             raise file.error((field,), str(error)) from error
     return settings
--- a/tidebend/cli.py
+++ b/tidebend/cli.py
@@ -11,7 +11,8 @@
 from tidebend.settings import SettingsError, load_settings
 
 # for these `tidebend.client` is imported; each has a --help of its own
-PRODUCT = ("up", "control", "agent", "submit", "status", "list", "wait", "logs", "cancel", "agents", "top", "keys")
+PRODUCT = ("up", "control", "agent", "submit", "status", "list", "wait", "logs", "cancel", "agents", "top", "keys",
+           "certs")
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
--- a/tidebend/client/commands.py
+++ b/tidebend/client/commands.py
@@ -1,4 +1,4 @@
-"""The commands `tidebend up, control, agent, submit, status, list, wait, logs, cancel, agents, top, keys`.
+"""The commands `tidebend up, control, agent, submit, status, list, wait, logs, cancel, agents, top, keys, certs`.
 
 Exit status: 0 fine; 1 a job didn't end as it should (or isn't there); 2 wrong words, file or settings; 3 the control
 service can't be reached; 4 it refuses; 5 the time was up.
@@ -16,7 +16,16 @@
 from pathlib import Path
 from typing import Any
 
-from tidebend.access import BadKeys, Keyring, make_ring, rotate_ring
+from tidebend.access import (
+    BadCertificate,
+    BadKeys,
+    Keyring,
+    NotLoopback,
+    expires,
+    make_certificate,
+    make_ring,
+    rotate_ring,
+)
 from tidebend.client import show
 from tidebend.client.desk import PATIENCE_S, Desk, NoControl, NotTaken, data_directory
 from tidebend.client.jobfile import JobBlock, one_job, read_jobs
@@ -25,6 +34,7 @@
 from tidebend.protocol import PRIORITIES
 from tidebend.protocol import user as words
 
+TLS = "tls"
 FINE, FAILED, WRONG, NO_CONTROL, REFUSED, TIME_UP = range(6)
 
 
@@ -41,6 +51,8 @@
                                                           "(default: $TIDEBEND_DATA, else ~/.tidebend)")
         if desk:
             parser.add_argument("--control", metavar="HOST:PORT", help="the control service (default: the one in DIR)")
+            parser.add_argument("--authority", metavar="FILE", help="whose certificates are trusted, for TLS "
+                                                                    "(default: as the one in DIR says)")
             parser.add_argument("--patience", type=float, default=PATIENCE_S, metavar="S",
                                 help="how long a request is repeated that gets no answer (default: %(default)g)")
             parser.add_argument("--key", metavar="FILE", help="file of keys (default: the one in DIR)")
@@ -94,6 +106,11 @@
     keys.add_argument("action", choices=["make", "rotate", "show"])
     keys.add_argument("--overlap", type=float, default=3600.0, metavar="S",
                       help="rotate: the keys before are accepted for so long (default: 3600)")
+    certs = add("certs", "Make a certificate for TLS beyond loopback, or show those there are.", _certs, desk=False)
+    certs.add_argument("action", choices=["make", "show"])
+    certs.add_argument("--host", action="append", default=[], dest="hosts", metavar="HOST",
+                       help="make: a name or address that it is for; may be given several times")
+    certs.add_argument("--name", default="server", help="make: name of its files (default: server)")
     return top
 
 
@@ -117,7 +134,7 @@
         return arguments.run(arguments)
     except BadFile as error:
         return _complain(WRONG, str(error))
-    except (NoControl, BadKeys) as error:
+    except (NoControl, NotLoopback, BadKeys, BadCertificate) as error:
         return _complain(NO_CONTROL, str(error))
     except NotTaken as error:
         return _complain(FAILED if error.status == 404 else REFUSED, str(error))
@@ -134,7 +151,8 @@
 
 
 def _desk(arguments: argparse.Namespace) -> Desk:
-    return Desk(data_directory(arguments.data), arguments.control, arguments.key, arguments.patience)
+    return Desk(data_directory(arguments.data), arguments.control, arguments.key, arguments.authority,
+                arguments.patience)
 
 
 def _print(arguments: argparse.Namespace, value: Any, shown: Callable[[Any], None]) -> None:
@@ -306,3 +324,14 @@
              "in_force": key.until is None or key.until > now} for key in Keyring(path).accepted()]
     _print(arguments, {"file": str(path), "keys": rows}, show.keys)
     return FINE
+
+
+def _certs(arguments: argparse.Namespace) -> int:
+    directory = data_directory(arguments.data) / TLS
+    if arguments.action == "make":
+        if not arguments.hosts:
+            return _complain(WRONG, "certs make takes --host HOST, once for each name or address that it is for")
+        make_certificate(directory, arguments.name, arguments.hosts)
+    rows = [{"file": str(path), "until": expires(path).timestamp()} for path in sorted(directory.glob("*.pem"))]
+    _print(arguments, rows, show.certificates)
+    return FINE
--- a/tidebend/client/desk.py
+++ b/tidebend/client/desk.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from tidebend.access import KeyedClient, Keyring
+from tidebend.access import KeyedClient, Keyring, safe_place, trusting
 from tidebend.client.jobfile import Ready
 from tidebend.control.main import ADDRESS, KEYS
 from tidebend.protocol import user as words
@@ -38,21 +38,23 @@
 
 class Desk:
     def __init__(self, directory: Path, control: str | None = None, key_file: str | None = None,
-                 patience_s: float = PATIENCE_S) -> None:
-        """Raises NoControl or BadKeys."""
-        self._directory = directory
+                 authority: str | None = None, patience_s: float = PATIENCE_S) -> None:
+        """Raises NoControl, NotLoopback, BadKeys or BadCertificate."""
         if control is None:
             try:
-                control = (directory / ADDRESS).read_text().strip()
+                control, *trusted = (directory / ADDRESS).read_text().split()
             except OSError as error:
                 raise NoControl(f"{directory / ADDRESS}: {error.strerror}: nothing was started there; "
                                 "`tidebend up` does") from error
-        host, _, port = control.rpartition(":")
-        if not port.isdigit():
-            raise NoControl(f"{control!r} is not HOST:PORT")
+            authority = authority or (trusted[0] if trusted else None)
+        try:
+            address = safe_place(control, authority is not None)
+        except ValueError as error:
+            raise NoControl(str(error)) from error
         self.address = control
         self._patience_s = patience_s
-        self._client = KeyedClient((host, int(port)), Keyring(Path(key_file) if key_file else directory / KEYS).shown)
+        ring = Keyring(Path(key_file) if key_file else directory / KEYS)
+        self._client = KeyedClient(address, ring.shown, tls=trusting(authority) if authority else None)
 
     def call(self, method: str, path: str, body: Any = None) -> Any:
         """The body of a 200 or 201. Raises NoControl or NotTaken."""
--- a/tidebend/client/show.py
+++ b/tidebend/client/show.py
@@ -102,6 +102,13 @@
     console.print(table)
 
 
+def certificates(rows: list[dict[str, Any]]) -> None:
+    table = _table("certificate", "until")
+    for row in rows:
+        table.add_row(row["file"], time.strftime("%Y-%m-%d", time.gmtime(row["until"])))
+    _console().print(table if rows else "no certificates")
+
+
 def _top(value: dict[str, Any]) -> Group:
     over = ("done", "cancelled")
     rows = sorted(value["jobs"], key=lambda job: job["state"] in over)
--- a/tidebend/control/main.py
+++ b/tidebend/control/main.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from tidebend.access import Gate, KeyedClient, Keyring, loopback, make_ring
+from tidebend.access import Gate, KeyedClient, Keyring, make_ring, place
 from tidebend.control.desk import PREFIX, Desk
 from tidebend.control.settings import CONTROLLER, ControlSettings
 from tidebend.messages import Joined
@@ -34,7 +34,7 @@
 
 class Control:
     def __init__(self, settings: ControlSettings, directory: Path) -> None:
-        """Raises Held, Damaged, Failed, BadKeys or PortTaken; nothing is changed then."""
+        """Raises Held, Damaged, Failed, BadKeys, BadCertificate or PortTaken; nothing is changed then."""
         self.settings = settings
         self.directory = directory
         self.engine = Engine(directory / STATE)
@@ -50,6 +50,7 @@
         if not keys.exists():
             make_ring(keys)
         self.ring = Keyring(keys)
+        self._tls = settings.tls.client() if settings.tls else None
         state = settings.state
         limits = Limits(state.requests_per_s, state.changes_per_s, int(state.value_kb * 1024),
                         state.changes_a_transaction)
@@ -58,7 +59,8 @@
         host, port = self.gate.server_address[:2]
         self.address = f"{host}:{port}"
         own = settings.controller(port, host)
-        processes = AgentProcesses(directory / AGENTS, self.address, keys.absolute(), settings.agents_alone_leases)
+        processes = AgentProcesses(directory / AGENTS, self.address, keys.absolute(), settings.agents_alone_leases,
+                                   settings.tls)
         self.provider = Provider(self.engine, settings.zone, settings.machines, processes, self._connect,
                                  lambda name: self.desk.address_of(name))
         self.controller = Controller(own, self._connector(own.state, own.cloud))
@@ -66,14 +68,14 @@
                          settings.times.gang_peer_s)
         self.state_gate = None
         if state.listen:
-            self.state_gate = self._gate(loopback(state.listen), self._state_route)
+            self.state_gate = self._gate(place(state.listen), self._state_route)
 
     def _place(self) -> tuple[str, int]:
         """Where to listen: as set, else where we were before, so that agents which outlived us find us again."""
-        host, port = loopback(self.settings.listen)
+        host, port = place(self.settings.listen)
         known = self.directory / ADDRESS
         if port == 0 and known.exists():
-            before, _, text = known.read_text().strip().rpartition(":")
+            before, _, text = known.read_text().split()[0].rpartition(":")
             if before == host and text.isdigit():
                 return host, int(text)
         return host, port
@@ -81,13 +83,13 @@
     def _gate(self, address: tuple[str, int], route: Callable[..., Reply]) -> Gate:
         try:
             return Gate(address, route, self.ring, 2.0 * self.settings.times.lease_s, BODY_S,
-                        self.settings.connections)
+                        self.settings.connections, self.settings.tls.server() if self.settings.tls else None)
         except (OSError, socket.gaierror) as error:
             raise PortTaken(f"{address[0]}:{address[1]}: {error.strerror or error}; set another `listen`, or 0 for a "
                             "free port") from error
 
     def _connect(self, address: tuple[str, int], keep: int = 1) -> KeyedClient:
-        return KeyedClient(address, self.ring.shown, keep)
+        return KeyedClient(address, self.ring.shown, keep, self._tls)
 
     def _connector(self, state: tuple[str, int], cloud: tuple[str, int]) -> Callable[..., Any]:
         """What the controller has for clients: state service and cloud are in this process, agents are not."""
@@ -127,7 +129,8 @@
                                  daemon=True).start()
         # only once it is served there: whoever reads it finds us
         beside = self.directory / f"{ADDRESS}.new"
-        beside.write_text(self.address + "\n")
+        trusted = [str(Path(self.settings.tls.authority).absolute())] if self.settings.tls else []
+        beside.write_text("\n".join([self.address, *trusted]) + "\n")
         beside.replace(self.directory / ADDRESS)
         self.provider.start()
         log.info("the control service listens on %s, its data is in %s", self.address, self.directory)
--- a/tidebend/control/settings.py
+++ b/tidebend/control/settings.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from tidebend.access import NotLoopback, loopback
+from tidebend.access import NotLoopback, Tls, safe_place
 from tidebend.hcl import File
 from tidebend.messages.agents import Name
 from tidebend.provider import Kind
@@ -62,6 +62,7 @@
 
 class ControlSettings(msgspec.Struct, frozen=True):
     listen: str
+    metrics_listen: str
     zone: str
     keep_idle_s: float
     agents_alone_leases: float
@@ -70,6 +71,7 @@
     state: State
     machines: dict[str, Kind]
     teams: dict[str, TeamLimits]
+    tls: Tls | None
 
     def controller(self, port: int, host: str) -> Settings:
         """The settings of the controller in this process, in the platform's terms."""
@@ -92,13 +94,14 @@
 
 class _Top(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     listen: str = "127.0.0.1:0"
+    metrics_listen: str = ""
     zone: Name = "here"
     keep_idle_s: Annotated[float, msgspec.Meta(ge=1, le=900_000)] = 900_000.0
     agents_alone_leases: Annotated[float, msgspec.Meta(ge=0)] = 40.0
     connections: Annotated[int, msgspec.Meta(ge=64, le=20_000)] = 2000
 
 
-BLOCKS = ("times", "state", "machine", "team")
+BLOCKS = ("times", "state", "machine", "team", "tls")
 
 
 def load_control_settings(path: str) -> ControlSettings:
@@ -111,9 +114,11 @@
     if wrong:
         raise file.error(("times", wrong[0]), wrong[1])
     state = file.block("state", State)
-    for where, text in ((("listen",), top.listen), (("state", "listen"), state.listen or "127.0.0.1:0")):
+    tls = file.block("tls", Tls) if "tls" in file.values else None
+    for where, text in ((("listen",), top.listen), (("metrics_listen",), top.metrics_listen or "127.0.0.1:0"),
+                        (("state", "listen"), state.listen or "127.0.0.1:0")):
         try:
-            loopback(text)
+            safe_place(text, tls is not None)
         except (ValueError, NotLoopback) as error:
             raise file.error(where, str(error)) from error
     machines = file.labelled("machine", Kind)
@@ -125,4 +130,5 @@
             msgspec.convert(label, Name)
         except msgspec.ValidationError as error:
             raise file.error(("machine" if label in machines else "team", label), str(error)) from error
-    return ControlSettings(**msgspec.structs.asdict(top), times=times, state=state, machines=machines, teams=teams)
+    return ControlSettings(**msgspec.structs.asdict(top), times=times, state=state, machines=machines, teams=teams,
+                           tls=tls)
--- a/tidebend/provider/agents.py
+++ b/tidebend/provider/agents.py
@@ -13,6 +13,9 @@
 from dataclasses import dataclass
 from pathlib import Path
 
+import msgspec
+
+from tidebend.access import Tls
 from tidebend.agent import Diary, end_leftovers
 from tidebend.agent.diary import BadDiary, Begun
 from tidebend.agent.processes import is_there
@@ -36,11 +39,12 @@
 class AgentProcesses:
     """Whether an agent is there is told by the lock on its directory, which the kernel frees when it ends."""
 
-    def __init__(self, root: Path, control: str, key_file: Path, alone_leases: float) -> None:
+    def __init__(self, root: Path, control: str, key_file: Path, alone_leases: float, tls: Tls | None) -> None:
         self._root = root
         self._control = control
         self._key_file = key_file
         self._alone_leases = alone_leases
+        self._tls = tls
         self._lock = threading.Lock()
         self._started: dict[str, _Started] = {}
 
@@ -85,6 +89,9 @@
         rows = {"control": self._control, "key_file": str(self._key_file), "data": str(directory), "kind": kind,
                 "label": name, "alone_leases": self._alone_leases}
         text = "".join(f"{key} = {json.dumps(value)}\n" for key, value in rows.items())
+        if self._tls is not None:  # the same as ours, since it is on the same machine
+            rows = {key: str(Path(value).absolute()) for key, value in msgspec.structs.asdict(self._tls).items()}
+            text += "tls {\n" + "".join(f"  {key} = {json.dumps(value)}\n" for key, value in rows.items()) + "}\n"
         settings.write_text(text.replace("${", "$${").replace("%{", "%%{"))
         place = directory / "agent.log"
         if place.exists() and place.stat().st_size > MOST_LOG_BYTES:
--- a/tools/loopback.py
+++ b/tools/loopback.py
@@ -276,7 +276,7 @@
                 except subprocess.TimeoutExpired:
                     process.kill()
         # a control service that was killed when the time was up leaves its agents to us
-        processes = AgentProcesses(self.data / "agents", "", self.data, 0.0)
+        processes = AgentProcesses(self.data / "agents", "", self.data, 0.0, None)
         for place in (self.data / "agents").glob("vm-*"):
             processes.end(place.name)
 
