Metrics, and images that are made ready once on an agent

Need: operators watch the control service; jobs need what they run on prepared before their tasks start.

Change: Prometheus metrics on a listener of their own, off unless set, computed when asked for. A job's image is made ready once on an agent by its prepare command, for all tasks that wait for it; given up when none does, kept for the next, written down like any process.

Result: tests of one preparation for three tasks, of one that fails and of one that is given up; the metrics ask for the key, inside TLS.

--- a/deploy/agent.hcl
+++ b/deploy/agent.hcl
@@ -15,8 +15,15 @@
 # Shown in lists; empty: this machine's name.
 label = ""
 
-# Where it takes orders; port 0: any free one. Only loopback addresses.
+# Where it takes orders; port 0: any free one. Beyond loopback only with TLS.
 listen = "127.0.0.1:0"
 
 # It ends itself after so many leases without a word from the control service; 0: never.
 alone_leases = 0
+
+# For a control service elsewhere; the certificate is for the address above.
+# tls {
+#   authority = "/var/lib/tidebend-agent/tls/authority.pem"
+#   certificate = "/var/lib/tidebend-agent/tls/garage.pem"
+#   key = "/var/lib/tidebend-agent/tls/garage.key"
+# }
--- a/deploy/local.hcl
+++ b/deploy/local.hcl
@@ -2,9 +2,12 @@
 # Every setting is here with its default, but for machine types, of which there must be at least one.
 
 # Where it listens, for users, agents and their orders. Port 0: any free one at the first start, the same ever after.
-# Only loopback addresses: beyond them nothing listens without TLS.
+# Beyond loopback nothing listens without TLS, see the end of this file.
 listen = "127.0.0.1:0"
 
+# Prometheus metrics, under /metrics, with a key like everything else; empty: none.
+metrics_listen = ""
+
 # The name of this place; all its machines are in it.
 zone = "here"
 
@@ -62,3 +65,11 @@
   cpus_max = 0
   gpus_max = 0
 }
+
+# For agents elsewhere. `tidebend certs make --host ADDRESS` makes these files in its data directory; agents need the
+# authority, a certificate of their own from it (--name), and the file of keys.
+# tls {
+#   authority = "/var/lib/tidebend/tls/authority.pem"
+#   certificate = "/var/lib/tidebend/tls/server.pem"
+#   key = "/var/lib/tidebend/tls/server.key"
+# }
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -273,6 +273,30 @@
     assert read(one.worker.outputs, "req-3", 2, 1000)[1].startswith(b"64\n")
 
 
+def test_an_image_is_made_ready_once_for_all_who_wait(agent, tmp_path):
+    log = tmp_path / "log"
+    make = ["sh", "-c", f"echo $$ >> {log}; sleep 0.3; echo built > file"]
+    use = sh("cat $TIDEBEND_IMAGE/file", image="img", prepare=make)
+    one = agent(**{"1": use, "2": sh("true", image="bad", prepare=["sh", "-c", "echo why; exit 3"]),
+                   "3": sh("true", image="slow", prepare=["sh", "-c", f"echo $$ >> {log}; sleep 69"])})
+    one.start(0, 1, 2)
+    assert one.states() == {str(index): ("fetching", None) for index in range(3)}
+    for index in range(3):
+        one.until_state(index, "ended", "done")
+    one.start(3)
+    one.until_state(3, "ended", "done")
+    assert len(pids(log)) == 1 and read(one.worker.outputs, JOB, 2, 100) == (1, b"built\n")
+    one.start(4, job="req-2")
+    one.until_state(4, "ended", "error")
+    one.start(5, job="req-3")
+    one.until(lambda: len(pids(log)) == 2)
+    one.direct(Command("stop", "req-3", 5, 1, 0.0))  # nobody waits for it any more
+    one.until_state(5, "ended", "stopped")
+    one.until(lambda: gone(pids(log)[1]))
+    assert not (one.worker.directory / "images/slow.ready").exists()
+    one.until(lambda: one.worker.ask(one.diary.begun) == [])
+
+
 def test_gang_tasks_start_and_end_together(agent):
     one = agent(**{"1": sh("sleep 0.$((TIDEBEND_TASK + 1)); exit 0", kind="gang", tasks=2),
                    "2": sh("sleep 60", kind="gang", tasks=2)})
--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -3,13 +3,17 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
+import urllib.error
+import urllib.request
 from pathlib import Path
 
 import pytest
 
+from tidebend.access import Keyring, trusting
 from tidebend.agent.settings import load_agent_settings
 from tidebend.client import main
 from tidebend.client.jobfile import read_jobs
@@ -154,11 +158,23 @@
     rows = "\n".join(f'  {key} = "{tmp_path}/tls/{file}"' for key, file in
                      (("authority", "authority.pem"), ("certificate", "server.pem"), ("key", "server.key")))
     machine = MACHINE.replace("cpus = 1", "cpus = 1\n  agents = 1")
-    (tmp_path / "control.hcl").write_text(f"{machine}tls {{\n{rows}\n}}\n")
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        metrics = free.getsockname()
+    listen = f'metrics_listen = "127.0.0.1:{metrics[1]}"\n'
+    (tmp_path / "control.hcl").write_text(f"{machine}{listen}tls {{\n{rows}\n}}\n")
     service = Service(tmp_path)
     try:
         (row,) = json.loads(service("submit", "--json", "--wait", "--timeout", "30", "--", "echo", "inside"))
         assert row["state"] == "done" and service("logs", row["job"]) == "inside\n"
+        context = trusting(str(tmp_path / "tls/authority.pem"))
+        asked = urllib.request.Request(f"https://127.0.0.1:{metrics[1]}/metrics")
+        with pytest.raises(urllib.error.HTTPError, match="401"):
+            urllib.request.urlopen(asked, context=context)
+        asked.add_header("Authorization", f"Bearer {Keyring(tmp_path / 'keys.json').shown()}")
+        with urllib.request.urlopen(asked, context=context) as answer:
+            text = answer.read().decode()
+        assert "tidebend_machines 1.0" in text and "tidebend_turned_away_total" in text
         address, other = (tmp_path / "address").read_text().split()[0], tmp_path / "o/tls/authority.pem"
         assert main(["certs", "make", "--data", str(tmp_path / "o"), "--host", "127.0.0.1"]) == 0
         assert "CERTIFICATE_VERIFY_FAILED" in service("list", "--control", address, "--authority", str(other),
--- a/tidebend/agent/output.py
+++ b/tidebend/agent/output.py
@@ -54,9 +54,10 @@
 def read(root: Path, job: str, index: int, most_bytes: int) -> tuple[int, bytes] | None:
     """The newest start of a task: its attempt, and the last bytes of what it wrote. None if there is nothing here."""
     try:
-        starts = [int(name.partition(".")[2]) for name in os.listdir(root / job) if name.startswith(f"{index}.")]
-    except (OSError, ValueError):
+        rests = [name.partition(".")[2] for name in os.listdir(root / job) if name.startswith(f"{index}.")]
+    except OSError:
         return None
+    starts = [int(rest) for rest in rests if rest.isdigit()]
     if not starts:
         return None
     place = directory_of(root, job, index, max(starts))
--- a/tidebend/agent/tasks.py
+++ b/tidebend/agent/tasks.py
@@ -23,6 +23,7 @@
     waiting_since: float = 0.0  # steady time
     # a stop that is under way: from when on it is killed outright, and whether it may save meanwhile
     kill_at: float | None = None
+    prepares: bool = False  # makes its job's image ready, for the tasks that wait for it
     # one of a gang that has finished well waits for its mates; until then it counts as running
     finished: bool = False
     mark: str = ""
@@ -49,11 +50,13 @@
     def row(self) -> Row:
         return Row(self.job, self.index, self.attempt, self.state, self.why, self.saved)
 
-    def environment(self, base: dict[str, str]) -> dict[str, Any]:
+    def environment(self, base: dict[str, str], image: str = "") -> dict[str, Any]:
         description = self.description
         assert description is not None
         own = {"TIDEBEND_JOB": self.job, "TIDEBEND_TASK": str(self.index), "TIDEBEND_ATTEMPT": str(self.attempt),
                "TIDEBEND_TASKS": str(description.tasks)}
+        if description.image:
+            own["TIDEBEND_IMAGE"] = image
         if description.checkpoints:
             own["TIDEBEND_CHECKPOINT"] = f"{description.checkpoints}/{self.job}/{self.index}"
         return {**base, **description.environment, **own}
--- a/tidebend/agent/worker.py
+++ b/tidebend/agent/worker.py
@@ -27,6 +27,7 @@
 from tidebend.agent import output
 from tidebend.agent.diary import Begun, Diary
 from tidebend.agent.history import History
+from tidebend.agent.images import Images
 from tidebend.agent.processes import (
     MARK,
     Stub,
@@ -95,6 +96,8 @@
         self._ending = False
         self._boot = boot_id()
         self._history = History(directory)
+        self._images = Images(directory / "images")
+        self._preparing: dict[str, Task] = {}  # image -> the process that makes it ready
         self.counts = {"started": 0, "leases_ended": 0, "commands_late": 0}
 
     # From other threads
@@ -177,7 +180,8 @@
         self._begin_session()
 
     def _end_everything(self) -> None:
-        running = [task for task in self._tasks.values() if task.process]
+        running = [task for task in [*self._tasks.values(), *self._preparing.values()] if task.process]
+        self._preparing.clear()
         for task in running:
             signal_group(task.stub.process.pid, signal.SIGKILL)
         for task in running:
@@ -252,6 +256,7 @@
         if starts:
             self._begin(starts)
         if commands:
+            self._give_up_images()
             self._changed()
 
     def _forget_description(self, job: str) -> None:
@@ -286,13 +291,57 @@
                 self._fetch(task.job)
             elif not self._has_room(task):
                 task.end("full")
-            elif task.gang:
-                task.state, task.waiting_since = "waiting", steady()
-                self._muster()
-            else:
-                ready.append(task)
+            elif self._has_image(task):
+                if task.gang:
+                    task.state, task.waiting_since = "waiting", steady()
+                    self._muster()
+                else:
+                    ready.append(task)
         self._launch(ready)
 
+    def _has_image(self, task: Task) -> bool:
+        """If not, it is being made ready, and the task waits as fetching."""
+        description = task.description
+        assert description is not None
+        if not description.prepare or not description.image:
+            return True
+        if self._images.ready(description.image):
+            self._images.used(description.image, self._busy_images())
+            return True
+        if description.image not in self._preparing:
+            first = Task(task.job, task.index, task.attempt, description=description, prepares=True)
+            self._preparing[description.image] = first
+            self._launch([first])
+            if first.state == "ended":
+                self._prepared(first)
+        return False
+
+    def _busy_images(self) -> set[str]:
+        return {task.description.image for task in self._tasks.values() if task.description is not None}
+
+    def _prepared(self, first: Task) -> None:
+        """Its process has ended: those who wait for the image go on, or have failed with it."""
+        image = first.description.image
+        del self._preparing[image]
+        waiting = [task for task in self._tasks.values() if task.state == "fetching" and task.description is not None
+                   and task.description.image == image]
+        if first.why == "done":
+            self._images.done(image)
+            self._begin(waiting)
+        else:
+            for task in waiting:
+                task.end("error")
+        self._changed()
+
+    def _give_up_images(self) -> None:
+        """A preparation that no task waits for any more is ended."""
+        wanted = {task.description.image for task in self._tasks.values()
+                  if task.state == "fetching" and task.description is not None}
+        for image, first in self._preparing.items():
+            if image not in wanted and first.process and first.kill_at is None:
+                first.kill_at = steady()
+                signal_group(first.stub.process.pid, signal.SIGKILL)
+
     def _has_room(self, task: Task) -> bool:
         others = [other.description for other in self._tasks.values()
                   if other is not task and other.state != "ended" and other.description is not None]
@@ -320,9 +369,10 @@
         for task in tasks:
             if task.state != "ended":
                 task.state = "running"
-                self._history.add("begun", steady(), task=task.name, attempt=task.attempt)
+                if not task.prepares:
+                    self._history.add("begun", steady(), task=task.name, attempt=task.attempt)
+                    self.counts["started"] += 1
                 task.stub.go()
-                self.counts["started"] += 1
         self._diary.ended([task.mark for task in tasks if task.state == "ended"])
         self._changed()
 
@@ -330,17 +380,22 @@
         description = task.description
         assert description is not None
         place = output.directory_of(self.outputs, task.job, task.index, task.attempt)
+        if task.prepares:
+            place = place.with_name(f"{place.name}.prepare")
         task.output = output.Output(place, description.output_kb * 1024)
+        image = str(self._images.place(description.image)) if description.image else ""
         directory = Path(description.directory) if description.directory else place / "work"
-        if not description.directory:
+        if task.prepares:
+            directory = self._images.begin(description.image)
+        elif not description.directory:
             directory.mkdir(exist_ok=True)
         if description.checkpoints:
             Path(task.environment({})["TIDEBEND_CHECKPOINT"]).mkdir(parents=True, exist_ok=True)
         ours, theirs = os.pipe()
         os.set_blocking(ours, False)
         try:
-            task.stub = Stub(description.command, {**task.environment(dict(os.environ)), MARK: task.mark}, directory,
-                             theirs)
+            task.stub = Stub(description.prepare if task.prepares else description.command,
+                             {**task.environment(dict(os.environ), image), MARK: task.mark}, directory, theirs)
             task.stub.bound(description.bounds)
         except BaseException:
             os.close(ours)
@@ -403,6 +458,10 @@
             return
         signal_group(task.stub.process.pid, signal.SIGKILL)
         self._let_go(task)
+        if task.prepares:
+            task.end("done" if status == 0 and task.kill_at is None else "error")
+            self._prepared(task)
+            return
         if task.why == "mates_gone":
             task.end("mates_gone")
         elif task.state == "saving":
@@ -425,7 +484,8 @@
         self._selector.unregister(task.pidfd)
         os.close(task.pidfd)
         task.pidfd = -1
-        pids = [other.stub.process.pid for other in self._tasks.values() if other.process]
+        pids = [other.stub.process.pid for other in [*self._tasks.values(), *self._preparing.values()]
+                if other.process]
         marks = {mark_of(seen.pid) for seen in reap_strangers(pids)}
         # what hides its mark can be told from others' only once there are no others
         if task.mark in marks or (None in marks and not pids):
@@ -437,8 +497,9 @@
         self._close_output(task)
         shutil.rmtree(task.output.directory / "work", ignore_errors=True)
         self._diary.ended([task.mark])
-        self._history.add("ended", steady(), task=task.name, attempt=task.attempt,
-                          status=task.stub.process.returncode)
+        if not task.prepares:
+            self._history.add("ended", steady(), task=task.name, attempt=task.attempt,
+                              status=task.stub.process.returncode)
 
     def _take_output(self, task: Task) -> None:
         for _ in range(16):  # a task that writes without end doesn't keep the others waiting
--- a/tidebend/client/jobfile.py
+++ b/tidebend/client/jobfile.py
@@ -33,6 +33,9 @@
     estimate_s: Amount = ESTIMATE_S
     deadline_s: Amount | None = None
     environment: dict[str, Text] = {}
+    image: Annotated[str, msgspec.Meta(pattern=r"^([A-Za-z0-9][A-Za-z0-9_.\-]{0,100})?$")] = ""
+    image_gb: Amount = 0.0
+    prepare: list[Text] = []
     directory: Text | None = None
     checkpoints: Text | None = None
     checkpoint_s: Amount = 0.0
@@ -42,14 +45,16 @@
 
     def spec(self, name: str) -> JobSpec:
         return JobSpec(job_class=name, team=self.team, kind=self.kind, priority=self.priority, tasks=self.tasks,
-                       cpus=self.cpus, gpus=self.gpus, memory_gb=self.memory_gb, image="none", image_gb=0.0,
+                       cpus=self.cpus, gpus=self.gpus, memory_gb=self.memory_gb,
+                       image=self.image or "none", image_gb=self.image_gb,
                        types=tuple(self.machines) or None, zone=None, one_zone=False, spread=False, spot=False,
                        estimate_s=0.0 if self.kind == "service" else self.estimate_s,
                        checkpoint_s=self.checkpoint_s, save_s=self.save_s, deadline_s=self.deadline_s)
 
     def description(self) -> Description:
         return Description(command=self.command, kind=self.kind, tasks=self.tasks, cpus=self.cpus, gpus=self.gpus,
-                           memory_gb=self.memory_gb, environment=self.environment, directory=self.directory,
+                           memory_gb=self.memory_gb, image=self.image, prepare=self.prepare,
+                           environment=self.environment, directory=self.directory,
                            checkpoints=self.checkpoints, checkpoint_s=self.checkpoint_s, save_s=self.save_s,
                            bounds=self.limits, output_kb=self.output_kb)
 
--- a/tidebend/control/main.py
+++ b/tidebend/control/main.py
@@ -13,6 +13,7 @@
 
 from tidebend.access import Gate, KeyedClient, Keyring, make_ring, place
 from tidebend.control.desk import PREFIX, Desk
+from tidebend.control.metrics import PATH, Metrics
 from tidebend.control.settings import CONTROLLER, ControlSettings
 from tidebend.messages import Joined
 from tidebend.provider import AgentProcesses, Provider
@@ -66,9 +67,13 @@
         self.controller = Controller(own, self._connector(own.state, own.cloud))
         self.desk = Desk(self.engine, self.controller, self.provider, self._terms, self._connect,
                          settings.times.gang_peer_s)
-        self.state_gate = None
+        self.gates = [self.gate]
         if state.listen:
-            self.state_gate = self._gate(place(state.listen), self._state_route)
+            self.gates.append(self._gate(place(state.listen), self._state_route))
+        if settings.metrics_listen:
+            metrics = Metrics(self.engine, self.controller, self.provider, self.gate)
+            self.gates.append(self._gate(place(settings.metrics_listen), lambda method, path, _: (
+                metrics.answer() if (method, path) == ("GET", PATH) else Reply(404, {"error": "no such path"}))))
 
     def _place(self) -> tuple[str, int]:
         """Where to listen: as set, else where we were before, so that agents which outlived us find us again."""
@@ -123,10 +128,8 @@
     def start(self) -> None:
         self.controller.begin()
         self.gate.route = self._route
-        for gate in (self.gate, self.state_gate):
-            if gate is not None:
-                threading.Thread(target=gate.serve_forever, kwargs={"poll_interval": 1.0}, name="door",
-                                 daemon=True).start()
+        for gate in self.gates:
+            threading.Thread(target=gate.serve_forever, kwargs={"poll_interval": 1.0}, name="door", daemon=True).start()
         # only once it is served there: whoever reads it finds us
         beside = self.directory / f"{ADDRESS}.new"
         trusted = [str(Path(self.settings.tls.authority).absolute())] if self.settings.tls else []
@@ -138,11 +141,9 @@
     def end(self) -> None:
         """Agents here first, while they can still report; then the door, then the store."""
         self.provider.end()
-        self.gate.shutdown()
-        self.gate.server_close()
-        if self.state_gate is not None:
-            self.state_gate.shutdown()
-            self.state_gate.server_close()
+        for gate in self.gates:
+            gate.shutdown()
+            gate.server_close()
         self.engine.close()
 
 
--- a/tidebend/messages/descriptions.py
+++ b/tidebend/messages/descriptions.py
@@ -26,6 +26,9 @@
     cpus: Amount = 0.0
     gpus: Amount = 0.0
     memory_gb: Amount = 0.0
+    # made ready once on an agent by `prepare`, in a directory of its own; tasks find it as TIDEBEND_IMAGE
+    image: Annotated[str, msgspec.Meta(pattern=r"^([A-Za-z0-9][A-Za-z0-9_.\-]{0,100})?$")] = ""
+    prepare: list[Text] = []
     environment: dict[Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z_][A-Za-z0-9_]*$")], Text] = {}
     directory: Text | None = None  # None: a fresh one for each start
     checkpoints: Text | None = None  # a directory that all agents share
--- a/tidebend/transport/__init__.py
+++ b/tidebend/transport/__init__.py
@@ -116,11 +116,14 @@
 class Reply(Exception):
     """Thrown or returned by a handler: a status, a body and headers."""
 
-    def __init__(self, status: int, body: Any = None, headers: dict[str, str] | None = None) -> None:
+    def __init__(self, status: int, body: Any = None, headers: dict[str, str] | None = None,
+                 kind: str = "application/json") -> None:
+        """`body` is sent as JSON, bytes as they are."""
         super().__init__(status)
         self.status = status
         self.body = body
         self.headers = headers or {}
+        self.kind = kind
 
 
 Route = Callable[[str, str, Callable[[], bytes]], Reply]
@@ -180,9 +183,12 @@
         if not self._read and (self.headers.get("Content-Length", "0") != "0"
                                or self.headers.get("Transfer-Encoding")):
             self.close_connection = True  # what follows on the connection is a body nobody read
-        data = b"" if reply.body is None else json.dumps(reply.body, separators=(",", ":")).encode()
+        if isinstance(reply.body, bytes):
+            data = reply.body
+        else:
+            data = b"" if reply.body is None else json.dumps(reply.body, separators=(",", ":")).encode()
         reason = self.responses.get(reply.status, ("",))[0]
-        lines = [f"HTTP/1.1 {reply.status} {reason}", "Content-Type: application/json",
+        lines = [f"HTTP/1.1 {reply.status} {reason}", f"Content-Type: {reply.kind}",
                  f"Content-Length: {len(data)}"]
         lines += [f"{key}: {value}" for key, value in reply.headers.items()]
         if self.close_connection:
