--- a/deploy/local.hcl
+++ b/deploy/local.hcl
@@ -17,8 +17,8 @@
 # An agent that was started here ends itself after so many leases without a word from the control service; 0: never.
 agents_alone_leases = 40
 
-# Connections at a time. A quarter of them may be of people who haven't shown a key yet.
-connections = 2000
+# Connections at a time, each a thread. A quarter of them may be of people who haven't shown a key yet.
+connections = 1000
 
 # What holds between agents and the control service, in seconds.
 times {
--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -357,6 +357,27 @@
     one.until(lambda: len(pids(log)) == 2)
 
 
+def test_on_a_full_disk_nothing_starts_that_isnt_written_down(agent, tmp_path):
+    log = tmp_path / "log"
+    one = agent(**{"1": sh(f"echo $$ >> {log}; sleep 70")})
+    one.start(0)
+    one.until(lambda: len(pids(log)) == 1)
+
+    def full(yes):
+        pages = one.diary._connection.execute("PRAGMA page_count").fetchone()[0]
+        one.diary._connection.execute(f"PRAGMA max_page_count = {pages if yes else 10**6}")
+
+    one.worker.ask(lambda: full(True))
+    one.start(*range(1, 200), attempt=1)
+    one.until(lambda: ("ended", "error") in one.states().values())
+    running = [index for index, state in one.states().items() if state == ("running", None)]
+    one.until(lambda: len(pids(log)) == len(running))
+    assert {row.task for row in one.diary.begun() if row.pid} == {f"{JOB}/{index}" for index in running}
+    one.worker.ask(lambda: full(False))
+    one.answer(*(Command("stop", JOB, int(index), 1, 0.0) for index in running))
+    one.until(lambda: one.worker.ask(one.diary.begun) == [])
+
+
 def test_a_process_id_that_was_given_to_another_is_left_alone(tmp_path):
     diary = Diary(tmp_path)
     other = subprocess.Popen(["sleep", "68"])
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -1,12 +1,17 @@
 """Both sides as real processes: killed by luck from a seed, and at each step of a start, an end and a cancellation."""
 
+import json
+import os
+import signal
+import socket
 import time
 
 import pytest
 
+from tidebend.access import Keyring
 from tidebend.client.desk import Desk, NoControl
 from tidebend.client.jobfile import JobBlock, Ready, new_id
-from tools.loopback import TASK, Asked, Loopback
+from tools.loopback import LEASE_S, TASK, Asked, Loopback
 
 
 @pytest.mark.timeout(150)
@@ -20,9 +25,10 @@
     assert len(loopback.asked) > 8 and loopback.counts["tasks ended"] > 20
 
 
-def _ask(loopback, kind, tasks, cancel_at=None):
-    script = TASK.replace("{seconds}", "0.3").replace("{trap}", "").replace("{child}", "")
-    block = JobBlock(command=["sh", "-c", script], kind=kind, tasks=tasks, cpus=0.5, estimate_s=1.0)
+def _ask(loopback, kind, tasks, cancel_at=None, seconds="0.3", machines=()):
+    script = TASK.replace("{seconds}", seconds).replace("{trap}", "").replace("{child}", "")
+    block = JobBlock(command=["sh", "-c", script], kind=kind, tasks=tasks, cpus=0.5, estimate_s=1.0,
+                     environment={"E": str(loopback.evidence)}, machines=list(machines))
     name = new_id(kind)
     loopback.asked[name] = Asked(Ready(name, kind, block.spec(kind), block.description(), ()), cancel_at=cancel_at)
 
@@ -63,6 +69,57 @@
         Desk(tmp_path)
 
 
+@pytest.mark.timeout(100)
+def test_an_agent_that_stood_still_for_longer_than_its_lease_obeys_no_old_order(tmp_path):
+    loopback = Loopback(tmp_path, seed=1)
+    loopback.start_control()
+    try:
+        while not (loopback.data / "address").exists():
+            time.sleep(0.05)
+        loopback.desk = Desk(loopback.data, patience_s=0.0)
+        loopback.start_far()
+        _ask(loopback, "array", 1, seconds="7", machines=["far"])
+        (name,) = loopback.asked
+        deadline = time.monotonic() + 30.0
+        while not loopback.asked[name].accepted or loopback.desk.job(name)["running"] < 1:
+            loopback.users()
+            assert time.monotonic() < deadline
+            time.sleep(0.05)
+        time.sleep(0.3)
+        (far,) = [row for row in loopback.desk.agents() if row["kind"] == "far"]
+        os.kill(loopback.far.pid, signal.SIGSTOP)
+        stopped = time.monotonic()
+        # an order of now, which it will read when it goes on: by then it is an old one
+        key = Keyring(loopback.data / "keys.json").shown()
+        host, _, port = far["address"].rpartition(":")
+        body = json.dumps({"helm": 10**9, "watch": far["session"],
+                           "orders": [{"order": "start", "piece": f"{name}/0", "launch": 99}]})
+        late = socket.create_connection((host, int(port)))
+        late.sendall(f"POST /orders HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\n"
+                     f"Content-Length: {len(body)}\r\n\r\n{body}".encode())
+        while time.monotonic() - stopped < 1.6 * LEASE_S:
+            # its silence proves nothing: the task isn't started anywhere else, and isn't called done
+            loopback.users()
+            assert loopback.desk.job(name)["state"] == "running"
+            time.sleep(0.1)
+        os.kill(loopback.far.pid, signal.SIGCONT)
+        assert b" 409 " in late.recv(1000).splitlines()[0]
+        deadline = time.monotonic() + 30.0
+        while not loopback.over():
+            assert time.monotonic() < deadline
+            loopback.users()
+            time.sleep(0.1)
+        (now,) = [row for row in loopback.desk.agents() if row["kind"] == "far"]
+        # a later session, or, since it was asked to leave meanwhile, another machine
+        assert now["machine"] > far["machine"] or now["session"] > far["session"]
+    finally:
+        loopback.end()
+    assert loopback.check() == []
+    log = (loopback.evidence / "log").read_text().splitlines()
+    assert [line.split()[0] for line in log if line.split()[2] != "99"] == ["begin", "begin", "end"]
+    assert not any(line.split()[2] == "99" for line in log)
+
+
 def test_the_checker_finds_what_it_looks_for(tmp_path):
     loopback = Loopback(tmp_path, seed=1)
     _ask(loopback, "array", 2, cancel_at=1.0)
--- a/tidebend/agent/diary.py
+++ b/tidebend/agent/diary.py
@@ -6,10 +6,15 @@
 
 from __future__ import annotations
 
+import contextlib
+import logging
 import sqlite3
+from collections.abc import Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
+log = logging.getLogger("agent")
+
 FILE = "diary.db"
 VERSION = 1
 
@@ -41,6 +46,7 @@
         """Raises BadDiary."""
         directory.mkdir(parents=True, exist_ok=True, mode=0o700)
         path = directory / FILE
+        self._left: list[str] = []  # ended, but not struck out yet
         try:
             self._connection = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=5.0)
             version = self._connection.execute("PRAGMA user_version").fetchone()[0]
@@ -72,9 +78,17 @@
                                          [(row.pid, row.started, row.boot, row.mark) for row in rows])
 
     def ended(self, marks: list[str]) -> None:
-        if marks:
+        """On a full disk they stay for the next call: looking once more for what is gone costs little."""
+        self._left += marks
+        if not self._left:
+            return
+        try:
             with self._whole():
-                self._connection.executemany("DELETE FROM begun WHERE mark = ?", [(mark,) for mark in marks])
+                self._connection.executemany("DELETE FROM begun WHERE mark = ?", [(mark,) for mark in self._left])
+        except sqlite3.Error as error:
+            log.error("%s", error)
+            return
+        self._left.clear()
 
     def begun(self) -> list[Begun]:
         return [Begun(*row) for row in self._connection.execute("SELECT mark, task, pid, started, boot FROM begun")]
@@ -82,18 +96,14 @@
     def close(self) -> None:
         self._connection.close()
 
-    def _whole(self) -> _Whole:
-        return _Whole(self._connection)
-
-
-class _Whole:
-    """One transaction: on the disk as a whole, or not at all."""
-
-    def __init__(self, connection: sqlite3.Connection) -> None:
-        self._connection = connection
-
-    def __enter__(self) -> None:
+    @contextlib.contextmanager
+    def _whole(self) -> Iterator[None]:
+        """One transaction: on the disk as a whole, or not at all."""
         self._connection.execute("BEGIN IMMEDIATE")
-
-    def __exit__(self, kind: type[BaseException] | None, *_: object) -> None:
-        self._connection.execute("COMMIT" if kind is None else "ROLLBACK")
+        try:
+            yield
+            self._connection.execute("COMMIT")
+        except BaseException:
+            if self._connection.in_transaction:
+                self._connection.execute("ROLLBACK")
+            raise
--- a/tidebend/agent/output.py
+++ b/tidebend/agent/output.py
@@ -62,10 +62,12 @@
         return None
     place = directory_of(root, job, index, max(starts))
     data = b""
-    for name in (OLDER, NEWER):
-        with contextlib.suppress(OSError):
-            data += (place / name).read_bytes()
-    return max(starts), data[-most_bytes:]
+    for name in (NEWER, OLDER):
+        with contextlib.suppress(OSError), open(place / name, "rb") as file:
+            size = file.seek(0, os.SEEK_END)
+            file.seek(max(0, size - (most_bytes - len(data))))
+            data = file.read(most_bytes - len(data)) + data
+    return max(starts), data
 
 
 def prune(root: Path, busy: set[Path]) -> None:
--- a/tidebend/agent/tasks.py
+++ b/tidebend/agent/tasks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 from dataclasses import dataclass
 from typing import Any
 
@@ -10,6 +11,13 @@
 from tidebend.messages import Description
 from tidebend.protocol.worker import Task as Row
 
+# of the agent's own environment, tasks get only this: what else is in it may be secret, or meant for the agent alone
+INHERITED = ("PATH", "HOME", "USER", "LOGNAME", "SHELL", "LANG", "TZ", "TMPDIR")
+
+
+def inherited() -> dict[str, str]:
+    return {key: value for key, value in os.environ.items() if key in INHERITED or key.startswith("LC_")}
+
 
 @dataclass
 class Task:
--- a/tidebend/agent/worker.py
+++ b/tidebend/agent/worker.py
@@ -15,6 +15,7 @@
 import selectors
 import shutil
 import signal
+import sqlite3
 import subprocess
 import threading
 import time
@@ -40,7 +41,7 @@
     reap_strangers,
     signal_group,
 )
-from tidebend.agent.tasks import Task
+from tidebend.agent.tasks import Task, inherited
 from tidebend.faults import point
 from tidebend.messages import Description, Joined, Mustered
 from tidebend.protocol import Command
@@ -162,8 +163,15 @@
         while not end_leftovers(self._diary):
             log.error("processes of an earlier session can't be ended; trying again")
             time.sleep(0.5)
+        while True:
+            try:
+                self._diary.note(session=str(self.session + 1))
+                break
+            except sqlite3.Error as error:
+                # a session that isn't on the disk could come twice; until then nothing is reported
+                log.error("no later session can be begun: %s", error)
+                time.sleep(0.5)
         self.session += 1
-        self._diary.note(session=str(self.session))
         point("agent.session-noted")
         self._sequence = 0
         self._lease_end = steady() + self.terms.lease_s
@@ -355,17 +363,22 @@
             return
         for task in tasks:
             task.mark = uuid.uuid4().hex
-        self._diary.begin([Begun(task.mark, task.name) for task in tasks])
-        point("agent.written-down")
-        begun = []
-        for task in tasks:
-            try:
-                begun.append(self._stub(task))
-            except (OSError, ValueError) as error:
+        try:
+            self._diary.begin([Begun(task.mark, task.name) for task in tasks])
+            point("agent.written-down")
+            begun = []
+            for task in tasks:
+                try:
+                    begun.append(self._stub(task))
+                except (OSError, ValueError) as error:
+                    self._failed_to_start(task, error)
+            point("agent.begun")
+            self._diary.identify(begun)
+            point("agent.identified")
+        except sqlite3.Error as error:
+            # guards against a process that runs without being written down, on a full disk: nobody gets the word
+            for task in tasks:
                 self._failed_to_start(task, error)
-        point("agent.begun")
-        self._diary.identify(begun)
-        point("agent.identified")
         for task in tasks:
             if task.state != "ended":
                 task.state = "running"
@@ -395,7 +408,7 @@
         os.set_blocking(ours, False)
         try:
             task.stub = Stub(description.prepare if task.prepares else description.command,
-                             {**task.environment(dict(os.environ), image), MARK: task.mark}, directory, theirs)
+                             {**task.environment(inherited(), image), MARK: task.mark}, directory, theirs)
             task.stub.bound(description.bounds)
         except BaseException:
             os.close(ours)
@@ -409,13 +422,19 @@
         return Begun(task.mark, task.name, task.stub.process.pid, task.stub.started, self._boot)
 
     def _failed_to_start(self, task: Task, error: Exception) -> None:
+        if task.state == "ended":
+            return
         log.warning("%s: can't be started: %s", task.name, error)
         if task.stub is not None:  # it has had no word, and exits without one
             task.stub.drop()
             task.stub.process.wait()
+        if task.pidfd >= 0:
+            self._selector.unregister(task.pidfd)
+            os.close(task.pidfd)
+            task.pidfd = -1
         if task.output is not None:
             task.output.add(f"tidebend: can't be started: {error}\n".encode())
-            task.output.close()
+            self._close_output(task)
         task.end("error")
 
     # Ends
--- a/tidebend/client/commands.py
+++ b/tidebend/client/commands.py
@@ -78,6 +78,8 @@
     submit.add_argument("--memory-gb", type=float, default=0.25)
     submit.add_argument("--team", default="everyone")
     submit.add_argument("--priority", choices=PRIORITIES, default="normal")
+    submit.add_argument("--fresh", action="store_true",
+                        help="run in a fresh directory instead of this one (with --)")
     submit.add_argument("--wait", action="store_true", help="wait until all are over")
     submit.add_argument("--timeout", type=float, metavar="S", help="with --wait: at most so many seconds")
 
@@ -226,7 +228,8 @@
     else:
         ready = [one_job(JobBlock(command=arguments.words, kind=arguments.kind, tasks=arguments.tasks,
                                   team=arguments.team, priority=arguments.priority, cpus=arguments.cpus,
-                                  memory_gb=arguments.memory_gb), arguments.name)]
+                                  memory_gb=arguments.memory_gb,
+                                  directory=None if arguments.fresh else os.getcwd()), arguments.name)]
     desk = _desk(arguments)
     rows = []
     for job in ready:
--- a/tidebend/client/jobfile.py
+++ b/tidebend/client/jobfile.py
@@ -5,6 +5,7 @@
 import re
 import secrets
 import time
+from pathlib import Path
 from typing import Annotated, Literal
 
 import msgspec
@@ -107,6 +108,8 @@
                     raise file.error(("job", name, "after"), f"{other!r} is neither a job of this file nor an id")
                 if other in blocks and blocks[other].kind == "service":
                     raise file.error(("job", name, "after"), f"{other!r} is a service, which never is done")
+            if block.directory is not None:  # a relative one is meant from where the file is
+                block = msgspec.structs.replace(block, directory=str(Path(path).parent.absolute() / block.directory))
             ready[name] = Ready(ids[name], name, block.spec(name), block.description(),
                                 tuple(ids.get(other, other) for other in block.after))
         if len(ready) == before:
--- a/tidebend/control/desk.py
+++ b/tidebend/control/desk.py
@@ -192,9 +192,10 @@
                 known = self._controller.fleet.machines.get(name)
                 heard = round(now - known.heard, 1) if known else None
                 tasks = [task for task in known.tasks.values() if task.state != "ended"] if known else []
-                session = known.session if known else 0
+                session, address = (known.session, known.address) if known else (0, None)
             rows.append({"machine": name, "kind": machine.kind, "label": machine.label, "here": machine.here,
-                         "heard_s_ago": heard, "session": session, "tasks": len(tasks)})
+                         "heard_s_ago": heard, "session": session, "tasks": len(tasks),
+                         "address": f"{address[0]}:{address[1]}" if address else None})
         return rows
 
     def _join(self, raw: bytes) -> Reply:
--- a/tidebend/control/settings.py
+++ b/tidebend/control/settings.py
@@ -98,7 +98,7 @@
     zone: Name = "here"
     keep_idle_s: Annotated[float, msgspec.Meta(ge=1, le=900_000)] = 900_000.0
     agents_alone_leases: Annotated[float, msgspec.Meta(ge=0)] = 40.0
-    connections: Annotated[int, msgspec.Meta(ge=64, le=20_000)] = 2000
+    connections: Annotated[int, msgspec.Meta(ge=64, le=1500)] = 1000
 
 
 BLOCKS = ("times", "state", "machine", "team", "tls")
--- /dev/null
+++ b/tools/bench_agents.py
@@ -0,0 +1,226 @@
+"""Many light agents over real sockets, reporting to one control service: what they cost, and how soon a task starts.
+
+    python3 -m tools.bench_agents --dir DIR [--agents 50 100 200 400] [--seconds 20]
+
+Light agents speak the protocol (reports, orders, tokens) and start nothing: a start is the moment at which the order
+comes. `--real` measures one real agent instead, from the submission to the first line of the task.
+Needs requirements-bench.txt.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import subprocess
+import sys
+import time
+import uuid
+from pathlib import Path
+
+from hdrh.histogram import HdrHistogram
+
+from tidebend.access import Keyring
+from tidebend.client.desk import Desk
+from tidebend.client.jobfile import JobBlock, one_job
+
+ROOT = Path(__file__).resolve().parent.parent
+SETTINGS = """
+keep_idle_s = 900000
+machine "light" {
+  cpus      = 4
+  memory_gb = 8
+}
+machine "real" {
+  cpus      = 4
+  memory_gb = 8
+  agents    = %d
+}
+"""
+TICK = os.sysconf("SC_CLK_TCK")
+
+
+class Light:
+    """An agent that starts nothing."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.name, self.token, self.sequence = "", 0, 0
+        self.tasks: dict[str, dict] = {}
+        self.address = ""
+        self.reader = self.writer = None
+
+    async def call(self, method: str, path: str, body: dict) -> tuple[int, dict]:
+        if self.writer is None:
+            self.reader, self.writer = await asyncio.open_connection(*self.world.control)
+        return await exchange(self.reader, self.writer, method, path, body, self.world.key)
+
+    async def run(self) -> None:
+        server = await asyncio.start_server(self.orders, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        _, joined = await self.call("POST", "/desk/agents", {"nonce": uuid.uuid4().hex, "kind": "light", "label": "l"})
+        self.name = joined["machine"]
+        while True:
+            began = time.monotonic()
+            status, answer = await self.call("POST", "/v1/report", self.body())
+            self.world.reports += 1
+            if status == 200 and answer["helm"] >= self.token:
+                self.token = answer["helm"]
+                self.obey(answer["orders"])
+            rest = self.world.report_s * random.uniform(0.75, 1.25) - (time.monotonic() - began)
+            await asyncio.sleep(max(0.0, rest))
+
+    def body(self) -> dict:
+        self.sequence += 1
+        return {"vessel": self.name, "address": self.address, "hull": "light", "harbor": "here", "driftwood": False,
+                "watch": 1, "tally": self.sequence, "helm": self.token, "warningS": None,
+                "pieces": list(self.tasks.values())}
+
+    def obey(self, orders: list[dict]) -> None:
+        for order in orders:
+            task = order["piece"]
+            if order["order"] == "start" and task not in self.tasks:
+                self.world.started[task] = time.monotonic()
+                # over at once: the next report says so
+                self.tasks[task] = {"piece": task, "launch": order["launch"], "tide": "ended", "cause": "done"}
+            elif order["order"] == "clear":
+                self.tasks.pop(task, None)
+
+    async def orders(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head, body = await message(reader)
+            if head is None:
+                return
+            if body and body["watch"] == 1 and body["helm"] >= self.token:
+                self.token = body["helm"]
+                self.obey(body["orders"])
+            data = json.dumps(self.body()).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(data), data))
+
+
+class World:
+    def __init__(self, control: tuple[str, int], key: str, report_s: float) -> None:
+        self.control, self.key, self.report_s = control, key, report_s
+        self.started: dict[str, float] = {}
+        self.reports = 0
+
+
+async def message(reader: asyncio.StreamReader) -> tuple[str | None, dict | None]:
+    try:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        lengths = [line.partition(":")[2] for line in head.split("\r\n") if line.lower().startswith("content-length")]
+        raw = await reader.readexactly(int(lengths[0])) if lengths else b""
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None, None
+    return head, json.loads(raw) if raw else None
+
+
+async def exchange(reader, writer, method: str, path: str, body: dict, key: str) -> tuple[int, dict]:
+    data = json.dumps(body).encode()
+    writer.write(f"{method} {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\n"
+                 f"Content-Length: {len(data)}\r\n\r\n".encode() + data)
+    head, answer = await message(reader)
+    if head is None:
+        raise ConnectionError
+    return int(head.split()[1]), answer or {}
+
+
+def usage(pid: int) -> tuple[float, float, int]:
+    """Processor seconds, MB of memory, threads."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    memory = int(fields[21]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+    return (int(fields[11]) + int(fields[12])) / TICK, memory, int(fields[17])
+
+
+def start(directory: Path, real: int) -> tuple[subprocess.Popen, Desk]:
+    directory.mkdir(parents=True)
+    (directory / "control.hcl").write_text(SETTINGS % real)
+    environment = {**os.environ, "PYTHONPATH": os.pathsep.join([str(ROOT), *(part for part in sys.path if part)])}
+    with open(directory / "log", "wb") as out:
+        control = subprocess.Popen([sys.executable, "-m", "tidebend", "control", "--config",
+                                    str(directory / "control.hcl"), "--data", str(directory)],
+                                   stdout=out, stderr=out, env=environment)
+    while not (directory / "address").exists():
+        time.sleep(0.05)
+    return control, Desk(directory)
+
+
+async def light(directory: Path, agents: int, seconds: float) -> dict[str, float]:
+    control, desk = start(directory, 0)
+    try:
+        host, _, port = desk.address.rpartition(":")
+        world = World((host, int(port)), Keyring(directory / "keys.json").shown(), 1.0)
+        running = [asyncio.create_task(Light(world).run()) for _ in range(agents)]
+        loop = asyncio.get_running_loop()
+        while len(await loop.run_in_executor(None, desk.agents)) < agents:
+            await asyncio.sleep(0.2)
+        await asyncio.sleep(3.0)
+        reports, before, began = world.reports, usage(control.pid), time.monotonic()
+        await asyncio.sleep(seconds)
+        after, passed = usage(control.pid), time.monotonic() - began
+        reports = world.reports - reports
+        histogram = HdrHistogram(1, 60_000_000, 3)
+        for _ in range(60):
+            ready = one_job(JobBlock(command=["true"]), "bench")
+            asked = time.monotonic()
+            await loop.run_in_executor(None, desk.submit, ready)
+            task = f"{ready.job}/0"
+            while task not in world.started:
+                await asyncio.sleep(0.001)
+            histogram.record_value(int((world.started[task] - asked) * 1e6))
+            await asyncio.sleep(0.2)
+        for each in running:
+            each.cancel()
+        return {"agents": agents, "reports_per_s": round(reports / passed, 1),
+                "core": round((after[0] - before[0]) / passed, 3),
+                "ms_a_report": round(1000 * (after[0] - before[0]) / max(1, reports), 2),
+                "memory_mb": round(after[1]), "threads": after[2],
+                "start_p50_ms": histogram.get_value_at_percentile(50) / 1000,
+                "start_p99_ms": histogram.get_value_at_percentile(99) / 1000}
+    finally:
+        control.terminate()
+        control.wait(20.0)
+
+
+def real(directory: Path, tasks: int) -> dict[str, float]:
+    control, desk = start(directory, 1)
+    try:
+        while not any(row["heard_s_ago"] is not None for row in desk.agents()):
+            time.sleep(0.2)
+        time.sleep(2.0)
+        histogram = HdrHistogram(1, 60_000_000, 3)
+        log = directory / "begun"
+        for number in range(tasks):
+            ready = one_job(JobBlock(command=["sh", "-c", f"cut -d' ' -f1 /proc/uptime; date +%s.%N >> {log}"]), "b")
+            asked = time.time()
+            desk.submit(ready)
+            while not log.exists() or len(log.read_text().splitlines()) <= number:
+                time.sleep(0.002)
+            histogram.record_value(int((float(log.read_text().splitlines()[number]) - asked) * 1e6))
+            time.sleep(0.8)  # the machine is idle again
+        return {"real agents": 1, "starts": tasks, "start_p50_ms": histogram.get_value_at_percentile(50) / 1000,
+                "start_p99_ms": histogram.get_value_at_percentile(99) / 1000}
+    finally:
+        control.terminate()
+        control.wait(20.0)
+
+
+def main() -> int:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--dir", required=True, type=Path)
+    parser.add_argument("--agents", type=int, nargs="*", default=[50, 100, 200, 400])
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--real", action="store_true")
+    arguments = parser.parse_args()
+    if arguments.real:
+        print(json.dumps(real(arguments.dir / "real", 60)), flush=True)
+        return 0
+    for agents in arguments.agents:
+        print(json.dumps(asyncio.run(light(arguments.dir / str(agents), agents, arguments.seconds))), flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/loopback.py
+++ b/tools/loopback.py
@@ -83,7 +83,7 @@
         self.settings = directory / "control.hcl"
         self.settings.write_text(SETTINGS)
         self.data = directory / "data"
-        self.environment = {**os.environ, "E": str(self.evidence), "LOG_LEVEL": "info",
+        self.environment = {**os.environ, "LOG_LEVEL": "info",
                             "PYTHONPATH": os.pathsep.join([str(ROOT), *(part for part in sys.path if part)])}
         self.control: subprocess.Popen | None = None
         self.far: subprocess.Popen | None = None
@@ -186,6 +186,7 @@
         tasks = {"array": draw.randint(1, 8), "gang": draw.randint(2, 4), "service": 2}.get(kind, 2)
         block = JobBlock(command=["sh", "-c", script], kind=kind if kind != "chain" else "array", tasks=tasks,
                          cpus=draw.choice([0.2, 0.5, 1.0]), memory_gb=0.1, estimate_s=1.0,
+                         environment={"E": str(self.evidence)},
                          priority=draw.choice(["low", "normal", "high"]) if kind != "service" else "production")
         earlier = [name for name, row in self.asked.items() if row.accepted
                    and row.ready.description.kind != "service"][-5:]
