--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -36,12 +36,8 @@
 @pytest.mark.timeout(150)
 def test_the_control_service_killed_at_each_step_of_a_start_an_end_and_a_cancel(tmp_path):
     loopback = Loopback(tmp_path, seed=1)
-    loopback.start_control()
     try:
-        while not (loopback.data / "address").exists():
-            time.sleep(0.05)
-        loopback.desk = Desk(loopback.data, patience_s=0.0)
-        loopback.start_far()
+        loopback.begin()
         loopback._some_fault = lambda: ("", "")
         killed = 0
         for step in range(1, 22, 2):
@@ -72,12 +68,8 @@
 @pytest.mark.timeout(100)
 def test_an_agent_that_stood_still_for_longer_than_its_lease_obeys_no_old_order(tmp_path):
     loopback = Loopback(tmp_path, seed=1)
-    loopback.start_control()
     try:
-        while not (loopback.data / "address").exists():
-            time.sleep(0.05)
-        loopback.desk = Desk(loopback.data, patience_s=0.0)
-        loopback.start_far()
+        loopback.begin()
         _ask(loopback, "array", 1, seconds="7", machines=["far"])
         (name,) = loopback.asked
         deadline = time.monotonic() + 30.0
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -502,8 +502,8 @@
             seen = (pending, now if seen is None else seen[1])
             self._waiting_since[job.id] = seen
         order = _order(job.id, blocks)
-        if block not in order:
-            return 0.0
+        if block not in order or len(order) == 1:
+            return 0.0  # nobody to collide with
         return seen[1] + (order.index(block) + round_ * len(order)) * self.turn_s - now
 
     def plan(self) -> None:
--- a/tools/loopback.py
+++ b/tools/loopback.py
@@ -229,12 +229,16 @@
 
     # The run
 
-    def run(self, seconds: float, every_s: float = 2.0, busy: int = 12) -> None:
+    def begin(self) -> None:
+        """A control service, the agents that it starts, and one that joins by itself."""
         self.start_control()
         while not (self.data / "address").exists():
             time.sleep(0.05)
         self.desk = Desk(self.data, patience_s=0.0)
         self.start_far()
+
+    def run(self, seconds: float, every_s: float = 2.0, busy: int = 12) -> None:
+        self.begin()
         end = time.monotonic() + seconds
         next_trouble = time.monotonic() + 3.0
         said = time.monotonic()
