--- a/tests/test_product.py
+++ b/tests/test_product.py
@@ -20,6 +20,7 @@
 from tidebend.control import load_control_settings
 from tidebend.control.settings import State, Times
 from tidebend.hcl import BadFile
+from tidebend.store import Engine
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -152,6 +153,17 @@
         again.end()
 
 
+def test_a_port_in_use_is_told_and_nothing_is_left_half_started(tmp_path, capsys):
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        (tmp_path / "control.hcl").write_text(f'{MACHINE}listen = "127.0.0.1:{taken.getsockname()[1]}"\n')
+        assert main(["up", "--data", str(tmp_path)]) == 2
+        assert "Address already in use" in capsys.readouterr().err
+    assert not (tmp_path / "address").exists()
+    Engine(tmp_path / "state").close()  # nobody holds it
+
+
 @pytest.mark.timeout(60)
 def test_everything_inside_tls(tmp_path):
     assert main(["certs", "make", "--data", str(tmp_path), "--host", "127.0.0.1"]) == 0
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -135,6 +135,20 @@
     assert engine.leases.extend(lease)
 
 
+@pytest.mark.parametrize("step", [-86_400.0, 86_400.0])
+def test_a_clock_that_is_set_changes_nothing(engine, monkeypatch, step):
+    lease = engine.grant(1000)
+    engine.transact({}, [Write("mine", b"1", lease)])
+    real = time.time
+    monkeypatch.setattr(time, "time", lambda: real() + step)
+    time.sleep(0.5)
+    assert engine.get("mine")[0] is not None and engine.leases.extend(lease)
+    time.sleep(0.7)  # longer than it would have lived without that
+    assert engine.get("mine")[0] is not None
+    time.sleep(0.6)
+    assert engine.get("mine")[0] is None and not engine.leases.extend(lease)
+
+
 def test_a_second_service_on_the_directory_is_refused(engine, tmp_path):
     with pytest.raises(Held):
         Engine(tmp_path / "s")
