--- a/tidebend/provider/agents.py
+++ b/tidebend/provider/agents.py
@@ -47,6 +47,7 @@
         self._tls = tls
         self._lock = threading.Lock()
         self._started: dict[str, _Started] = {}
+        self._ending: set[str] = set()
 
     def directory(self, name: str) -> Path:
         return self._root / name
@@ -56,6 +57,8 @@
         now = time.monotonic()
         with self._lock:
             started = self._started.get(name)
+            if name in self._ending:
+                return  # guards against starting again what is just being ended
         if started is not None:
             if started.process.poll() is None:
                 return
@@ -110,6 +113,15 @@
 
     def end(self, name: str, timeout: float = 10.0) -> bool:
         """End it and all that it ran; True once that is certain, and it won't come back."""
+        with self._lock:
+            self._ending.add(name)
+        try:
+            return self._end(name, timeout)
+        finally:
+            with self._lock:
+                self._ending.discard(name)
+
+    def _end(self, name: str, timeout: float) -> bool:
         deadline = time.monotonic() + timeout
         while True:
             try:
