A gang's task without its image isn't there yet; starts beside another attempt are refused as in_use

Need: on rereading: a gang's task whose image was still being made ready counted as running for its mates, which could have started without it; and a start of another attempt was passed over in silence instead of refused as the protocol has it. A gang that was done before the control service was killed learnt it only after gang_peer_s when some of it was cleared.

Change: tasks without their image don't muster; attempts are kept apart and in_use is reported; a finished task's question looks the record up each time; events of descriptors that were closed a moment ago are passed over.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -129,6 +129,8 @@
     one.answer(start, start)
     one.direct(start, clear)  # a running task isn't cleared, a known attempt isn't started again
     one.answer(Command("start", JOB, 0, 2))  # nor another attempt beside it
+    assert one.states()["0"] == ("ended", "in_use")
+    one.answer(Command("forget", JOB, 0, 2))
     one.until(lambda: len(pids(log)) == 1)
     one.direct(kill, kill)
     one.until_state(0, "ended", "stopped")
@@ -278,6 +280,7 @@
     make = ["sh", "-c", f"echo $$ >> {log}; sleep 0.3; echo built > file"]
     use = sh("cat $TIDEBEND_IMAGE/file", image="img", prepare=make)
     one = agent(**{"1": use, "2": sh("true", image="bad", prepare=["sh", "-c", "echo why; exit 3"]),
+                   "4": sh("true", image="gang", prepare=["sleep", "0.3"], kind="gang", tasks=2),
                    "3": sh("true", image="slow", prepare=["sh", "-c", f"echo $$ >> {log}; sleep 69"])})
     one.start(0, 1, 2)
     assert one.states() == {str(index): ("fetching", None) for index in range(3)}
@@ -294,6 +297,10 @@
     one.until_state(5, "ended", "stopped")
     one.until(lambda: gone(pids(log)[1]))
     assert not (one.worker.directory / "images/slow.ready").exists()
+    # a gang's task without its image isn't there yet for its mates
+    one.start(6, job="req-4")
+    assert one.worker.ask(one.worker.gathering) == []
+    one.until(lambda: [phase for _, phase in one.worker.ask(one.worker.gathering)] == ["waiting"])
     one.until(lambda: one.worker.ask(one.diary.begun) == [])
 
 
--- a/tidebend/agent/worker.py
+++ b/tidebend/agent/worker.py
@@ -55,10 +55,6 @@
 MOST_WAITING = 1024
 
 
-class Stopped(Exception):
-    """The agent is about to end."""
-
-
 class Late(Exception):
     """Direct commands with a lower token, or for another session; nothing was executed."""
 
@@ -86,7 +82,7 @@
         self._sequence = 0
         self._lease_end = 0.0
         self._token_told = 0.0
-        self._tasks: dict[tuple[str, int], Task] = {}
+        self._tasks: dict[tuple[str, int, int], Task] = {}  # by job, index and attempt
         self._descriptions: dict[str, Description] = {}
         self._inbox: queue.Queue[tuple[Callable[[], Any], Future]] = queue.Queue(MOST_WAITING)
         self._selector = selectors.DefaultSelector()
@@ -99,12 +95,14 @@
         self._history = History(directory)
         self._images = Images(directory / "images")
         self._preparing: dict[str, Task] = {}  # image -> the process that makes it ready
-        self.counts = {"started": 0, "leases_ended": 0, "commands_late": 0}
 
     # From other threads
 
     def ask(self, work: Callable[[], Any], timeout: float = 5.0) -> Any:
-        """Have something done by the worker's thread; raises what it raises, TimeoutError, or Stopped."""
+        """Have something done by the worker's thread; raises what it raises, or TimeoutError.
+
+        After a TimeoutError it may still be done, in its turn: whoever asks next is answered after that.
+        """
         answer: Future = Future()
         try:
             self._inbox.put_nowait((work, answer))
@@ -131,9 +129,10 @@
                         os.read(self._woken, READ_BYTES)
                 else:
                     what, task = key.data
-                    if what == "exit":
+                    # guards against an event of a descriptor that was closed, and given to another, a moment ago
+                    if what == "exit" and task.pidfd == key.fd:
                         self._exited(task)
-                    elif task.pipe == key.fd:
+                    elif what == "output" and task.pipe == key.fd:
                         self._take_output(task)
             self._look_at_lease()
             self._kill_late()
@@ -183,7 +182,6 @@
             return
         if self._tasks:
             log.warning("the lease has ended: ending %d tasks", len(self._tasks))
-        self.counts["leases_ended"] += 1
         self._end_everything()
         self._begin_session()
 
@@ -221,7 +219,6 @@
     def direct(self, asked: Direct) -> dict[str, Any]:
         """Execute direct commands; the body of the answer. They don't renew the lease. Raises Late."""
         if asked.token < self.token or asked.session != self.session:
-            self.counts["commands_late"] += 1
             raise Late
         self._learn(asked.token)
         self._execute(asked.commands)
@@ -241,20 +238,22 @@
     def _execute(self, commands: list[Command]) -> None:
         starts: list[Task] = []
         for command in commands:
-            key = (command.job, command.index)
+            key = (command.job, command.index, command.attempt)
             task = self._tasks.get(key)
             if command.op == "start":
                 if task is None:
-                    task = self._tasks[key] = Task(command.job, command.index, command.attempt)
-                    starts.append(task)
-                elif task.attempt != command.attempt:
-                    log.info("%s: a start of attempt %d while attempt %d is here", task.name, command.attempt,
-                             task.attempt)
+                    in_use = any((other.job, other.index) == key[:2] and other.state != "ended"
+                                 for other in self._tasks.values())
+                    task = self._tasks[key] = Task(*key)
+                    if in_use:
+                        task.end("in_use")
+                    else:
+                        starts.append(task)
                 continue
             if starts:  # in order: what comes before is under way before what follows it
                 self._begin(starts)
                 starts = []
-            if task is None or task.attempt != command.attempt:
+            if task is None:
                 continue
             if command.op == "stop":
                 self._stop(task, command.grace_s)
@@ -268,7 +267,7 @@
             self._changed()
 
     def _forget_description(self, job: str) -> None:
-        if not any(other == job for other, _ in self._tasks):
+        if not any(other == job for other, _, _ in self._tasks):
             self._descriptions.pop(job, None)
             output.prune(self.outputs, {task.output.directory for task in self._tasks.values() if task.output})
 
@@ -384,7 +383,6 @@
                 task.state = "running"
                 if not task.prepares:
                     self._history.add("begun", steady(), task=task.name, attempt=task.attempt)
-                    self.counts["started"] += 1
                 task.stub.go()
         self._diary.ended([task.mark for task in tasks if task.state == "ended"])
         self._changed()
@@ -546,8 +544,8 @@
         """The gangs' tasks here, each with its phase; those that have ended well say so until they are cleared."""
         found = []
         for task in self._tasks.values():
-            if not task.gang:
-                continue
+            if not task.gang or task.state == "fetching":
+                continue  # guards against a gang that starts while one of it has no image yet
             if task.state == "ended":
                 phase = "finished" if task.why == "done" else "lost"
             elif task.finished:
@@ -560,7 +558,7 @@
         return found
 
     def mustered(self, task: Task, answer: Mustered) -> None:
-        if self._tasks.get((task.job, task.index)) is not task:
+        if self._tasks.get((task.job, task.index, task.attempt)) is not task:
             return
         if task.kill_at is not None:
             return  # it is being stopped, and may be saving: that comes to its own end
--- a/tidebend/control/muster.py
+++ b/tidebend/control/muster.py
@@ -43,13 +43,12 @@
         now = time.monotonic()
         with self._lock:
             self._forget(now)
-            first = key not in self._gangs
             gang = self._gangs.setdefault(key, _Gang(told.tasks))
             gang.phases[told.index] = told.phase
             gang.heard[told.index] = now
             verdict = self._verdict(gang, told, now)
-        if told.phase == "finished" and (verdict == "done" or first or verdict == "mates_gone"):
-            # also a gang that was done before we were started, and some of whose tasks are cleared by now
+        if told.phase == "finished":
+            # it may have been done before we were started, and some of its tasks may be cleared by now
             if self._is_done(told.job, told.attempt):
                 return Mustered("done")
             if verdict == "done":
