--- a/tidebend/agent/doors.py
+++ b/tidebend/agent/doors.py
@@ -10,11 +10,10 @@
 
 from tidebend.agent import output
 from tidebend.agent.worker import Late, Worker
+from tidebend.messages import paths
 from tidebend.protocol.worker import PATH_DIRECT, PATH_SHOW, parse_direct
 from tidebend.transport import Reply
 
-PATH_OUTPUT = "/output/"
-PATH_LEAVE = "/leave"
 MOST_OUTPUT = 1024 * 1024
 
 
@@ -26,9 +25,9 @@
                 return _direct(worker, body())
             if path == PATH_SHOW and method == "GET":
                 return Reply(200, worker.ask(worker.report)[0])
-            if path.startswith(PATH_OUTPUT) and method == "GET":
-                return _output(worker, path[len(PATH_OUTPUT):], query)
-            if path == PATH_LEAVE and method == "POST":
+            if path.startswith(paths.AGENT_OUTPUT + "/") and method == "GET":
+                return _output(worker, path[len(paths.AGENT_OUTPUT) + 1:], query)
+            if path == paths.AGENT_LEAVE and method == "POST":
                 return _leave(worker, body())
         except TimeoutError:
             return Reply(503, {"error": "busy"}, {"Retry-After": "1"})
--- a/tidebend/agent/link.py
+++ b/tidebend/agent/link.py
@@ -11,7 +11,7 @@
 
 from tidebend.access import KeyedClient, Keyring, Tls, place
 from tidebend.agent.worker import Worker
-from tidebend.messages import Description, Joined, Joining, Muster, Mustered
+from tidebend.messages import Description, Joined, Joining, Muster, Mustered, paths
 from tidebend.protocol.worker import ELSEWHERE, PATH_REPORT, elsewhere, parse_answer
 from tidebend.transport import HttpClient, NoAnswer, Unreachable
 
@@ -23,12 +23,6 @@
 # a gang's tasks ask after each other this often, as a share of the time within which they must notice
 MUSTER_SHARE = 0.1
 
-PATH_AGENTS = "/desk/agents"
-PATH_DESCRIPTIONS = "/desk/descriptions"
-PATH_MUSTER = "/desk/muster"
-
-FAILURES = (Unreachable, NoAnswer, TimeoutError)
-
 
 class Refused(Exception):
     """The control service won't have this agent; the text says why."""
@@ -41,7 +35,7 @@
 def join(client: HttpClient, asked: Joining) -> Joined | None:
     """Become a machine; None if the control service can't be asked now. Raises Refused or Gone."""
     try:
-        status, body = client.request("POST", PATH_AGENTS, msgspec.to_builtins(asked), ANSWER_S)
+        status, body = client.request("POST", paths.AGENTS, msgspec.to_builtins(asked), ANSWER_S)
     except (Unreachable, NoAnswer) as error:
         log.info("the control service can't be asked: %s", error)
         return None
@@ -136,7 +130,7 @@
         self.fetch_wanted.wait(self._terms.lease_s)
         self.fetch_wanted.clear()
         for job in worker.ask(worker.wanted):
-            path = f"{PATH_DESCRIPTIONS}/{job}?machine={self._terms.machine}"
+            path = f"{paths.DESCRIPTIONS}/{job}?machine={self._terms.machine}"
             try:
                 status, body = self._clients[self._names[0]].request("GET", path, None, ANSWER_S)
             except (Unreachable, NoAnswer) as error:
@@ -159,7 +153,7 @@
         for task, phase in worker.ask(worker.gathering):
             asked = Muster(task.job, task.attempt, task.index, task.description.tasks, phase)
             try:
-                status, body = self._clients[self._names[0]].request("POST", PATH_MUSTER, msgspec.to_builtins(asked),
+                status, body = self._clients[self._names[0]].request("POST", paths.MUSTER, msgspec.to_builtins(asked),
                                                                      ANSWER_S)
             except (Unreachable, NoAnswer):
                 self._ended.wait(LEAST_PAUSE_S)
--- a/tidebend/client/desk.py
+++ b/tidebend/client/desk.py
@@ -12,6 +12,7 @@
 from tidebend.access import KeyedClient, Keyring, safe_place, trusting
 from tidebend.client.jobfile import Ready
 from tidebend.control.main import ADDRESS, KEYS
+from tidebend.messages import paths
 from tidebend.protocol import user as words
 from tidebend.transport import NoAnswer, Unreachable
 
@@ -75,18 +76,18 @@
 
     def submit(self, ready: Ready) -> str:
         """Describe and submit; repeating it is harmless, since the id stays. The job's state."""
-        self.call("POST", f"/desk/descriptions/{ready.job}", msgspec.to_builtins(ready.description))
+        self.call("POST", f"{paths.DESCRIPTIONS}/{ready.job}", msgspec.to_builtins(ready.description))
         return words.state(self.call("POST", words.PATH_JOBS, words.job(ready.job, ready.spec, ready.awaits)))
 
     def job(self, job: str) -> dict[str, Any]:
-        return self.call("GET", f"/desk/jobs/{job}")
+        return self.call("GET", f"{paths.JOBS}/{job}")
 
     def jobs(self, most: int) -> list[dict[str, Any]]:
         """The newest last."""
         found: list[dict[str, Any]] = []
         after = ""
         while True:
-            page = self.call("GET", f"/desk/jobs?after={after}")
+            page = self.call("GET", f"{paths.JOBS}?after={after}")
             found = (found + page["jobs"])[-most:]
             if not page["more"]:
                 return found
@@ -96,10 +97,10 @@
         return words.state(self.call("POST", f"{words.PATH_JOBS}/{job}/cancel", {}))
 
     def output(self, job: str, index: int, most: int) -> dict[str, Any]:
-        return self.call("GET", f"/desk/output/{job}/{index}?most={most}")
+        return self.call("GET", f"{paths.OUTPUT}/{job}/{index}?most={most}")
 
     def agents(self) -> list[dict[str, Any]]:
-        return self.call("GET", "/desk/agents")["agents"]
+        return self.call("GET", paths.AGENTS)["agents"]
 
     def forget(self, machine: str) -> None:
-        self.call("POST", f"/desk/forget/{machine}", {})
+        self.call("POST", f"{paths.FORGET}/{machine}", {})
--- a/tidebend/control/desk.py
+++ b/tidebend/control/desk.py
@@ -14,7 +14,7 @@
 
 from tidebend.access import KeyedClient
 from tidebend.control.muster import Musters
-from tidebend.messages import Description, Joined, Joining, Muster
+from tidebend.messages import Description, Joined, Joining, Muster, paths
 from tidebend.protocol import is_job_id
 from tidebend.protocol import user as users_words
 from tidebend.provider import JoinRefused, MachineGone, Provider
@@ -25,7 +25,6 @@
 
 log = logging.getLogger("control")
 
-PREFIX = "/desk/"
 DESCRIPTION = "desk/what/"
 RAN = "desk/ran/"
 DONE_GANG = "desk/gang/"
@@ -50,7 +49,7 @@
 
     def route(self, method: str, path: str, body: Callable[[], bytes]) -> Reply:
         path, _, query = path.partition("?")
-        table, _, rest = path[len(PREFIX):].partition("/")
+        table, _, rest = path[len(paths.DESK):].partition("/")
         arguments = {key: values[-1] for key, values in parse_qs(query, max_num_fields=16).items()}
         try:
             match method, table, bool(rest):
@@ -163,7 +162,7 @@
             address = self.address_of(machine)
             if address is None:
                 continue
-            path = f"/output/{job}/{index}?most={arguments.get('most', '')}"
+            path = f"{paths.AGENT_OUTPUT}/{job}/{index}?most={arguments.get('most', '')}"
             try:
                 status, body = self._connect(address).request("GET", path, None, OUTPUT_S)
             except (Unreachable, NoAnswer):
--- a/tidebend/control/main.py
+++ b/tidebend/control/main.py
@@ -12,10 +12,10 @@
 from typing import Any
 
 from tidebend.access import Gate, KeyedClient, Keyring, make_ring, place
-from tidebend.control.desk import PREFIX, Desk
+from tidebend.control.desk import Desk
 from tidebend.control.metrics import PATH, Metrics
 from tidebend.control.settings import CONTROLLER, ControlSettings
-from tidebend.messages import Joined
+from tidebend.messages import Joined, paths
 from tidebend.provider import AgentProcesses, Provider
 from tidebend.service import Controller
 from tidebend.settings import Limits
@@ -111,7 +111,7 @@
                       amounts.cpus, amounts.gpus, amounts.memory_gb, {CONTROLLER: self.address})
 
     def _route(self, method: str, path: str, body: Callable[[], bytes]) -> Reply:
-        if path.startswith(PREFIX):
+        if path.startswith(paths.DESK):
             return self.desk.route(method, path, body)
         return self.controller.route(method, path, body)
 
--- a/tidebend/logs.py
+++ b/tidebend/logs.py
@@ -14,13 +14,9 @@
 LEVELS = {"error": logging.ERROR, "warning": logging.WARNING, "info": logging.INFO, "debug": logging.DEBUG}
 
 
-def configure(**bound: str) -> None:
-    """`bound` is said with each line: which machine or service it comes from."""
-    def add(_: object, __: str, event: dict) -> dict:
-        return {**event, **bound}
-
+def configure() -> None:
     shared = [structlog.stdlib.add_log_level, structlog.stdlib.add_logger_name,
-              structlog.processors.TimeStamper(fmt="iso", utc=True), add]
+              structlog.processors.TimeStamper(fmt="iso", utc=True)]
     if os.environ.get("LOG_FORMAT") == "json":
         shown = [structlog.processors.format_exc_info, structlog.processors.JSONRenderer()]
     else:
--- a/tidebend/provider/local.py
+++ b/tidebend/provider/local.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from tidebend.messages import paths
 from tidebend.protocol import cloud as wire
 from tidebend.provider.agents import AgentProcesses
 from tidebend.store import Engine, Failed
@@ -249,7 +250,7 @@
         if address is None:
             return False
         try:
-            status, _ = self._connect(address).request("POST", "/leave", {"machine": name}, LEAVE_S)
+            status, _ = self._connect(address).request("POST", paths.AGENT_LEAVE, {"machine": name}, LEAVE_S)
         except (Unreachable, NoAnswer) as error:
             log.info("%s can't be told to leave: %s", name, error)
             return False
