A task that fills its output no longer holds its agent up on a busy disk

Need: beside four loopback tests, test_output_is_bounded ran into a time-out twice: the agent didn't answer for 5 s.

Cause: output was rotated by renaming over the older half; some file systems then write the new file out at once.

Change: the older half is removed before the rename. A test sees that nothing is renamed over a file.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -250,6 +250,23 @@
     assert sum(path.stat().st_size for path in (tmp_path / "o").iterdir()) <= 1000
 
 
+def test_output_is_never_renamed_over_a_file(tmp_path, monkeypatch):
+    """On a busy disk that took 0.1 to 0.3 s each time, and the agent stood still meanwhile."""
+    renamed, real = [], Path.rename
+
+    def rename(path, target):
+        assert not Path(target).exists()
+        renamed.append(target)
+        return real(path, target)
+
+    monkeypatch.setattr(Path, "rename", rename)
+    monkeypatch.setattr(os, "replace", None)
+    output = Output(tmp_path / "o", 2048)
+    output.add(b"x" * 10_000)
+    output.close()
+    assert len(renamed) == 9
+
+
 def test_more_than_there_is_room_for_is_refused(agent):
     one = agent(**{"1": sh("sleep 60", cpus=3.0), "2": sh("sleep 60", cpus=2.0), "3": sh("sleep 60", memory_gb=5.0)})
     one.start(0)
--- a/tidebend/agent/output.py
+++ b/tidebend/agent/output.py
@@ -32,8 +32,12 @@
     def add(self, data: bytes) -> None:
         while data:
             if self._size >= self._half:
-                os.close(self._file)
-                os.replace(self.directory / NEWER, self.directory / OLDER)
+                self.close()
+                # Guards against an agent that stands still while a task fills its output: renaming over a file has some
+                # file systems write the new one out at once, and on a busy disk that takes long.
+                with contextlib.suppress(OSError):
+                    (self.directory / OLDER).unlink(missing_ok=True)
+                    (self.directory / NEWER).rename(self.directory / OLDER)
                 self._open()
             part, data = data[:self._half - self._size], data[self._half - self._size:]
             try:
