A gang's task whose mates went down with the control service no longer waits for ever

Cause: what the new process knew of the gang was what this one task told; nobody told of the others, so nobody was silent.

Change: mates of a gang that has begun and of whom nothing is heard within gang_peer_s count as gone; the next attempt runs.

Result: a test that fails without it.

--- a/tests/test_muster.py
+++ b/tests/test_muster.py
@@ -92,6 +92,17 @@
     assert place(None, None, "finished") == ["done"]
 
 
+def test_killed_together_with_mates_the_rest_doesnt_wait_for_ever(place):
+    """Found by the loopback test, seed 101: the control service and one agent killed at the same moment."""
+    place("running", "running", "running", "running")
+    place.killed()
+    assert place("finished", None, None, None) == ["wait"]
+    place.now += 0.9 * PEER_S
+    assert place("finished", None, None, None) == ["wait"]  # they may come yet
+    place.now += 0.2 * PEER_S
+    assert place("finished", None, None, None) == ["mates_gone"]
+
+
 def test_what_nobody_speaks_of_is_forgotten(place):
     place("waiting", None)
     place.now += 30 * PEER_S
--- a/tidebend/control/muster.py
+++ b/tidebend/control/muster.py
@@ -21,6 +21,7 @@
 @dataclass
 class _Gang:
     tasks: int
+    since: float  # steady time at which we first heard of it
     phases: dict[int, str] = field(default_factory=dict)
     heard: dict[int, float] = field(default_factory=dict)  # steady time
     begun: bool = False
@@ -43,7 +44,7 @@
         now = time.monotonic()
         with self._lock:
             self._forget(now)
-            gang = self._gangs.setdefault(key, _Gang(told.tasks))
+            gang = self._gangs.setdefault(key, _Gang(told.tasks, now))
             gang.phases[told.index] = told.phase
             gang.heard[told.index] = now
             verdict = self._verdict(gang, told, now)
@@ -60,7 +61,10 @@
         if any(phase in ("running", "finished") for phase in phases):
             gang.begun = True
         there = [index for index, phase in gang.phases.items() if phase != "lost"]
-        if gang.begun and (any(phase == "lost" for phase in phases)
+        # Guards against a task that waits for ever: its mates were lost together with the process that knew them, so that
+        # nobody tells of them any more.
+        missing = len(gang.phases) < gang.tasks and now - gang.since > self._peer_s
+        if gang.begun and (missing or any(phase == "lost" for phase in phases)
                            or any(now - gang.heard[index] > self._peer_s for index in there)):
             gang.gone = True
         if gang.gone and told.phase != "lost":
