--- a/tidebend/control/muster.py
+++ b/tidebend/control/muster.py
@@ -61,8 +61,8 @@
         if any(phase in ("running", "finished") for phase in phases):
             gang.begun = True
         there = [index for index, phase in gang.phases.items() if phase != "lost"]
-        # Guards against a task that waits for ever: its mates were lost together with the process that knew them, so that
-        # nobody tells of them any more.
+        # Guards against a task that waits for ever: its mates were lost together with the process that knew them, so
+        # that nobody tells of them any more.
         missing = len(gang.phases) < gang.tasks and now - gang.since > self._peer_s
         if gang.begun and (missing or any(phase == "lost" for phase in phases)
                            or any(now - gang.heard[index] > self._peer_s for index in there)):
