After a reread: one way to bury a machine, one patience at the gate, no dead names

Need: a machine was recorded as gone in three places, the gate cleared a body's entry twice and kept one time under two names, metrics read the machines twice, an agent re-exported a name that nobody took there, a comment described something else.

Change: Provider._bury; the rest removed or corrected.

Result: the tests of access, provider, store, musters, product and agents pass.

--- a/tidebend/access/gate.py
+++ b/tidebend/access/gate.py
@@ -35,10 +35,7 @@
             self.server.turned_away(self.client_address, self.command, self.path, bool(shown))
             return Reply(401, {"error": "no key of ours"}, {"WWW-Authenticate": SCHEME.strip()})
         self.server.came_in(self.connection)
-        try:
-            return super()._dispatch()
-        finally:
-            self.server.was_read(self.connection)
+        return super()._dispatch()
 
     def _body(self) -> bytes:
         # each byte would win another time-out otherwise: the whole body has one
@@ -55,8 +52,7 @@
         self.ring = ring
         self._tls = tls
         self.refused = 0
-        self._hello_s = body_s
-        self._whole_s = body_s
+        self._patience_s = body_s  # for a guest to show a key, and for a whole body
         self._most_guests = max(2, int(most * GUESTS_SHARE))
         self._tables = threading.Lock()
         self._guests: dict[socket.socket, float] = {}  # connection -> steady time at which it came, oldest first
@@ -121,11 +117,11 @@
                     "a wrong" if with_key else "no", self.refused)
 
     def _watch(self) -> None:
-        while not self._closed.wait(self._hello_s / 8.0):
+        while not self._closed.wait(self._patience_s / 8.0):
             now = time.monotonic()
             with self._tables:
-                late = [c for c, since in self._guests.items() if now - since > self._hello_s]
-                late += [c for c, since in self._reading.items() if now - since > self._whole_s]
+                late = [connection for table in (self._guests, self._reading) for connection, since in table.items()
+                        if now - since > self._patience_s]
                 for connection in late:
                     self._guests.pop(connection, None)
                     self._reading.pop(connection, None)
--- a/tidebend/agent/main.py
+++ b/tidebend/agent/main.py
@@ -13,7 +13,7 @@
 from tidebend.access import Gate, KeyedClient, Keyring, place
 from tidebend.agent import doors
 from tidebend.agent.diary import Diary
-from tidebend.agent.link import Gone, Link, Refused, join
+from tidebend.agent.link import Gone, Link, join
 from tidebend.agent.processes import boot_id, end_leftovers, look
 from tidebend.agent.settings import AgentSettings
 from tidebend.agent.worker import Worker
@@ -70,7 +70,7 @@
         # a new machine begins anew: nobody knows its sessions or tokens
         diary.note(nonce=nonce, session="0", token="0")
     try:
-        terms = _join(settings, ring, nonce, [name for name in diary.fact("left").split() if name], ended)
+        terms = _join(settings, ring, nonce, diary.fact("left").split(), ended)
     except Gone:
         # by an operator's word, while we were away: whatever is left of that life ends before another begins
         while not end_leftovers(diary):
@@ -118,6 +118,3 @@
             return None
         ended.wait(0.5)
     return None
-
-
-__all__ = ["Refused", "run_agent"]
--- a/tidebend/control/desk.py
+++ b/tidebend/control/desk.py
@@ -32,7 +32,7 @@
 LATER = {"Retry-After": "1"}
 MOST_LISTED = 200
 OUTPUT_S = 5.0
-# an id that the client makes: the time, so that they come in order of submission, and a random part
+# a task, or a job for its first
 PLACE = re.compile(r"(?P<job>[^/]+)(?:/(?P<index>\d{1,6}))?\Z")
 
 
--- a/tidebend/control/metrics.py
+++ b/tidebend/control/metrics.py
@@ -50,13 +50,14 @@
         silent = GaugeMetricFamily("tidebend_machine_silent_seconds", "Since a machine last reported.",
                                    labels=["machine", "type"])
         heard = {machine.name: machine for machine in self._controller.fleet.all()}
-        for name, machine in sorted(self._provider.machines().items()):
+        machines = self._provider.machines()
+        for name, machine in sorted(machines.items()):
             known = heard.get(name)
             if known is not None:
                 silent.add_metric([name, machine.kind], now - known.heard)
                 tasks.update(task.state for task in list(known.tasks.values()))
         yield silent
-        yield GaugeMetricFamily("tidebend_machines", "Machines that aren't gone.", len(self._provider.machines()))
+        yield GaugeMetricFamily("tidebend_machines", "Machines that aren't gone.", len(machines))
         states = GaugeMetricFamily("tidebend_tasks", "Tasks on machines, by state.", labels=["state"])
         for state, number in sorted(tasks.items()):
             states.add_metric([state], number)
--- a/tidebend/provider/local.py
+++ b/tidebend/provider/local.py
@@ -142,6 +142,14 @@
             else:
                 self._machines[name] = (machine, revision)
 
+    def _bury(self, name: str) -> bool:
+        """Record that a machine is gone; False if it wasn't there. Under _step."""
+        machine = self.machines().get(name)
+        if machine is None:
+            return False
+        self._change(name, msgspec.structs.replace(machine, gone=True))
+        return True
+
     # Agents that join
 
     def join(self, nonce: str, kind: str, label: str, left: list[str]) -> str:
@@ -152,7 +160,7 @@
             for name in left:  # the agent says itself that it has ended all that it ran as these
                 machine = self.machines().get(name)
                 if machine is not None and not machine.here:
-                    self._change(name, msgspec.structs.replace(machine, gone=True))
+                    self._bury(name)
             item, _ = self._engine.get(NONCE + nonce)
             if item is None:
                 (name,) = self._make(kind, False, 1, label, nonce, None)
@@ -240,9 +248,7 @@
         elif not self._has_left(name):
             return False
         with self._step:
-            now = self.machines().get(name)
-            if now is not None:
-                self._change(name, msgspec.structs.replace(now, gone=True))
+            self._bury(name)
         return True
 
     def _has_left(self, name: str) -> bool:
@@ -259,11 +265,9 @@
     def forget(self, name: str) -> bool:
         """An operator's word that a machine and all that it ran is gone; False if there is no such machine."""
         with self._step:
-            machine = self.machines().get(name)
-            if machine is None:
+            if not self._bury(name):
                 return False
             log.warning("%s is gone by an operator's word", name)
-            self._change(name, msgspec.structs.replace(machine, gone=True))
             return True
 
     # Agents here are kept up
--- a/tidebend/store/engine.py
+++ b/tidebend/store/engine.py
@@ -159,7 +159,7 @@
     def end_lease(self, number: int, timeout: float = 5.0) -> bool:
         if not self.leases.end(number):
             return False
-        self._ask(lambda sync: self._end_leases(sync), timeout)
+        self._ask(self._end_leases, timeout)
         return True
 
     def _end_leases(self, sync: _Sync) -> None:
