--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -18,8 +18,9 @@
 from tidebend.protocol import MachineType, Report, TaskReport, parse_job
 from tidebend.provisioning import Offer, Rental
 from tidebend.scheduling import Place, Placement, Timeline, Want, own_demand, value_of
-from tidebend.service.ledger import Edit, packed_bytes
-from tidebend.service.planner import _Ends
+from tidebend.service.ends import ProvenEnds
+from tidebend.service.ledger import Edit
+from tidebend.service.sizes import packed_bytes
 from tidebend.storage import Unknown
 from tidebend.transport import NoAnswer
 
@@ -116,9 +117,9 @@
 def test_spread_is_checked_against_the_record_of_the_claim(world):
     first, _ = stale_pair(world, a=spec(shape="service", pieces=2, vcpus=1.0, spread=True))
     now = time.monotonic()
-    places = first.planner.places(now, time.time())
+    places = first.planner.places.all(now, time.time())
     name = next(name for name, (place, _, _) in places.items() if place.zone == "north")
-    first.planner._claim({"a": [Placement("a", name, 2, now, now + 1, True)]}, places)
+    first.planner.claims.claim({"a": [Placement("a", name, 2, now, now + 1, True)]}, places)
     assert first.book.get("a").per_zone() == {"north": 1}
 
 
@@ -137,7 +138,7 @@
     machine.tasks = {("a", 0, 1): TaskReport("a", 0, 1, "ended", "stopped", False)}
     machine.unsettled, confirmed = True, machine.token
     machine.token = confirmed - 1
-    first.planner.gather_s = 0.0
+    first.planner.ends.gather_s = 0.0
     first.planner.mapping_event()
     assert first.book.get("a").claims
     machine.token = confirmed
@@ -234,22 +235,23 @@
 def test_a_record_that_is_full_becomes_a_head_with_parts_of_bounded_size(world):
     """As production wrote it and larger than may now be written: parts first, each step in few changes."""
     first, second = stale_pair(world, a=spec(pieces=100_000, vcpus=0.0, memoryGb=0.0))
-    first.ledger.value_bytes, first.ledger.most_writes = 600, 4
+    first.sizes.value_bytes, first.sizes.most_writes = 600, 4
     largest, whole = [], world.state.transact
     world.state.transact = lambda body: (largest.append((len(body["writes"]), max(
         packed_bytes(row.get("v")) for row in body["writes"]))), whole(body))[1]
     now = time.monotonic()
-    places = first.planner.places(now, time.time())
+    places = first.planner.places.all(now, time.time())
     group = [Placement("a", name, 40, now, now + 1, True) for name in places]
     for _ in range(20):
-        first.planner._claim({"a": group}, places)
+        first.planner.claims.claim({"a": group}, places)
     job = first.book.get("a")
     assert job.parts and len(job.claims) > 20 and job.charged == job.running
     # every other one done: as scattered as can be
     everything = job.places(places)
     done = job.claimed & int("01" * 50_000, 2)
     while first.book.get("a").claims:
-        assert first.ledger.change("a", lambda job, _: first.planner._without(job, _, _Ends(everything, done)), {})
+        ended = ProvenEnds(everything, done)
+        assert first.ledger.change("a", lambda job, _, ended=ended: first.planner.ends.without(job, _, ended), {})
     after = first.book.get("a")
     assert (after.done, after.charged, after.started) == (done, job.charged, job.started)
     second.mirror.catch_up(0.0, "claim")
@@ -264,7 +266,7 @@
 def test_a_job_whose_description_alone_is_too_long_by_now_keeps_no_other_from_being_claimed(world):
     long = spec(pieces=3, hulls=[f"a-long-name-{n:04d}" for n in range(99)])
     first, _ = stale_pair(world, a=long, b=spec())
-    world.state.limits["value_kb"], first.ledger.value_bytes = 1.0, 1024
+    world.state.limits["value_kb"], first.sizes.value_bytes = 1.0, 1024
 
     def edit(job, usage):
         return job.with_claims([Claim("vm-000000", 1, job.started + 1, 1, 0.0, "north")])
@@ -353,7 +355,7 @@
     # what the other zone took ahead is not to be had, until its holder gives it back
     first.mirror.catch_up(0.0, "claim")
     assert claim_in(first, "north", "a", 0b1110000) is None
-    assert second.ledger.give_back("team") and not second.ledger.give_back("team")
+    assert second.shares.give_back("team") and not second.shares.give_back("team")
     first.mirror.catch_up(0.0, "claim")
     assert claim_in(first, "north", "a", 0b1110000) is not None
     assert first.book.used("team") == (8.0, 0.0)
@@ -386,7 +388,7 @@
     second.mirror.catch_up(0.0, "claim")
     old_world.state.transact({"if": [], "writes": [{"put": "tidebend/live/format", "v": {"version": 2}}]})
     first.mirror.catch_up(0.0, "claim")
-    first.ledger.share_out()
+    first.shares.share_out()
     assert first.book.team("team").shares.zones == {"north": (1.0, 0.0), "south": (0.0, 0.0)}
     assert second.book.team("team").shares is None
     assert claim(second, "b", "vm-000001", 1) is not None  # by the shares, that it learns of by the conflict
@@ -471,7 +473,7 @@
         rows.append((place, replace(machine_with(), name=f"m-{kind.name}"), (0.0, 0.0, 31.0), [victim]))
     made = spec(shape="service", rank="critical", vcpus=2.0, driftwood=False)
     want = Want("req-s", made, value_of(own_demand(made, 0.0, 1.0), 0.0, 1.0), 1.0, 1, keeps_off_gpus=True)
-    planner._make_room(want, 3, list(rows), 0.0)
+    planner.room.for_want(want, 3, list(rows), 0.0)
     assert [bool(machine.stops) for _, machine, _, _ in rows] == [True, False]
 
 
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -5,7 +5,6 @@
 from copy import deepcopy
 from random import Random
 
-from tidebend import scheduling
 from tidebend.bookkeeping.tasksets import from_text, lowest, to_text
 from tidebend.protocol import JobSpec, MachineType
 from tidebend.scheduling import (
@@ -13,14 +12,15 @@
     Timeline,
     Value,
     Want,
-    _slot,
     allowed_on,
     map_tasks,
     need_of,
     own_demand,
+    pick,
     times_fit,
     value_of,
 )
+from tidebend.scheduling.slots import best_slot
 
 KIND = MachineType("box", 8.0, 0.0, 32.0, 50.0, 1.0, 1.0, 0.4, 30.0, ("north", "south"))
 
@@ -117,7 +117,7 @@
         if not any(times_fit(p.timeline.free[0], need_of(w.spec)) and allowed_on(w, p)
                    for w in wants for p in places if w.waiting > 0):
             return placements
-        slots = [(_slot(w, p, now, now + horizon), i, j) for i, w in enumerate(wants) for j, p in enumerate(places)
+        slots = [(best_slot(w, p, now, now + horizon), i, j) for i, w in enumerate(wants) for j, p in enumerate(places)
                  if w.waiting > 0 and allowed_on(w, p)]
         slots = sorted(s for s in slots if s[0] is not None)
         if not slots:
@@ -166,7 +166,7 @@
 
 def test_work_in_an_event_follows_the_open_machines_and_not_the_fleet(monkeypatch):
     looked = []
-    monkeypatch.setattr(scheduling, "_slot", lambda *args: looked.append(1) or _slot(*args))
+    monkeypatch.setattr(pick, "best_slot", lambda *args: looked.append(1) or best_slot(*args))
     places = [place(f"m{number:03}", busy=[(0.0, 30.0, 8.0)]) for number in range(400)] + [place("open")]
     map_tasks([want(f"j{number}", cpus=8.0) for number in range(20)], places, 0.0, 40.0)
     assert len(looked) < 100
--- a/tidebend/bookkeeping/book.py
+++ b/tidebend/bookkeeping/book.py
@@ -11,8 +11,8 @@
 from tidebend.bookkeeping.claims import Claim
 from tidebend.bookkeeping.jobs import HEAD, JOB, Job
 from tidebend.bookkeeping.parts import PART, Part
-from tidebend.bookkeeping.teams import QUOTA, TEAM, Amounts, Shares, Usage, amount
 from tidebend.storage import FINAL
+from tidebend.tenancy import Accounts, Amounts, Usage
 
 CANCELLED = "cancelled"
 Final = tuple[str, float]  # `done` or `cancelled`, and the time of day, 0 in records of the version before pipelines
@@ -54,22 +54,13 @@
         self.jobs: dict[str, Job] = {}
         self._heads: dict[str, Job] = {}  # as recorded, before anything is derived
         self._parts: dict[str, dict[int, _PartRecord]] = {}
-        self._charged: dict[str, tuple[float, float, int]] = {}  # team -> its record and the record's version
-        self._shares: dict[str, Shares] = {}
-        self._used: dict[str, dict[str, list[float]]] = {}  # team -> zone -> what its claims there take
-        self._ended: dict[str, list[float]] = {}  # team -> what its live jobs' ended claims took
+        self._accounts = Accounts()
         self._finals: OrderedDict[str, Final] = OrderedDict()
         self._keep_finals = keep_finals
         self._by_machine: dict[str, dict[str, list[tuple[Job, Claim]]]] = {}
         self._waiters: dict[str, set[str]] = {}  # job -> live jobs that name it
         self._needed: dict[str, Final] = {}  # finals of jobs that live ones name: kept however old
 
-    def _count_ended(self, job: Job, sign: int) -> None:
-        if job.ended:
-            ended = self._ended.setdefault(job.spec.team, [0.0, 0.0])
-            ended[0] += sign * job.ended * job.spec.cpus
-            ended[1] += sign * job.ended * job.spec.gpus
-
     def on_change(self, key: str, value: Any, version: int) -> None:
         if key.startswith(JOB) or key.startswith(HEAD):
             name = key[len(JOB):] if key.startswith(JOB) else key[len(HEAD):]
@@ -85,18 +76,11 @@
                 parts[int(number)] = _PartRecord(value, version)
             if name in self._heads:
                 self._derive(name)
-        elif key.startswith(TEAM):
-            if value is None:
-                self._charged.pop(key[len(TEAM):], None)
-            else:
-                self._charged[key[len(TEAM):]] = (value[0], value[1], version)
-        elif key.startswith(QUOTA):
-            if value is None:
-                self._shares.pop(key[len(QUOTA):], None)
-            else:
-                self._shares[key[len(QUOTA):]] = Shares(version, {zone: tuple(row) for zone, row in value.items()})
-        elif key.startswith(FINAL) and value is not None:
-            self.remember_final(key[len(FINAL):], value)
+        elif key.startswith(FINAL):
+            if value is not None:
+                self.remember_final(key[len(FINAL):], value)
+        else:
+            self._accounts.on_change(key, value, version)
 
     def _head_changed(self, name: str, key: str, value: Any, version: int) -> None:
         old = self._heads.get(name)
@@ -156,12 +140,9 @@
     def _index(self, job: Job | None, sign: int) -> None:
         if job is None:
             return
-        self._count_ended(job, sign)
+        self._accounts.count_ended(job.spec, sign * job.ended)
         for claim in job.claims:
-            used = self._used.setdefault(job.spec.team, {}).setdefault(claim.zone, [0.0, 0.0])
-            tasks = sign * claim.tasks.bit_count()
-            used[0] = amount(used[0] + tasks * job.spec.cpus)
-            used[1] = amount(used[1] + tasks * job.spec.gpus)
+            self._accounts.count_claim(job.spec, claim.zone, sign * claim.tasks.bit_count())
             if sign > 0:
                 self._by_machine.setdefault(claim.machine, {}).setdefault(job.id, []).append((job, claim))
                 continue
@@ -232,23 +213,16 @@
     def used(self, team: str, zones: Iterable[str] | None = None) -> Amounts:
         """What a team's claims take, everywhere or in some zones."""
         with self.lock:
-            rows = [row for zone, row in self._used.get(team, {}).items() if zones is None or zone in zones]
-            return sum(row[0] for row in rows), sum(row[1] for row in rows)
+            return self._accounts.used(team, zones)
 
     def has_shares(self, team: str) -> bool:
         with self.lock:
-            return team in self._shares
+            return self._accounts.has_shares(team)
 
     def team(self, name: str, zones: Iterable[str] = ()) -> Usage:
         """A team's usage as who holds these zones may act on it."""
         with self.lock:
-            shares = self._shares.get(name)
-            if shares is not None:
-                others, here = shares.total(but=zones), self.used(name, zones)
-                return Usage(amount(others[0] + here[0]), amount(others[1] + here[1]), shares.version, shares=shares)
-            cpus, gpus, version = self._charged.get(name, (0.0, 0.0, 0))
-            ended = self._ended.get(name, (0.0, 0.0))
-            return Usage(amount(cpus - ended[0]), amount(gpus - ended[1]), version, (cpus, gpus))
+            return self._accounts.team(name, zones)
 
     def on_machine(self, machine: str) -> list[tuple[Job, Claim]]:
         with self.lock:
--- /dev/null
+++ b/tidebend/coordination/coordinator.py
@@ -0,0 +1,313 @@
+"""Our lease, leading, and the blocks that are ours."""
+
+from __future__ import annotations
+
+import logging
+import random
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from tidebend.coordination.blocks import Grant, block_of, zone_of
+from tidebend.coordination.formats import Formats
+from tidebend.settings import Settings
+from tidebend.storage import LIVE, Conflict, Mirror, NoSuchLease, StateClient, Unavailable, Unknown
+
+log = logging.getLogger("coordination")
+
+LEADER = LIVE + "leader"
+NODE = LIVE + "node/"
+BLOCK = LIVE + "block/"
+FAILURES = (Conflict, NoSuchLease, Unavailable, Unknown)
+
+
+class Coordinator:
+    """Keeps our lease, leads if it falls to us, and knows which blocks are ours."""
+
+    def __init__(self, settings: Settings, state: StateClient, mirror: Mirror,
+                 took_up: Callable[[Grant], None], formats: Formats) -> None:
+        self.settings = settings
+        self.formats = formats
+        self.state = state
+        self.mirror = mirror
+        self._took_up = took_up
+        self.lease: int | None = None
+        self.lease_until = -1e9
+        self._lease_s = settings.controller_lease_s
+        self._held: dict[str, Grant] = {}
+        self._outbid: dict[str, tuple[int, str]] = {}  # block -> (token, holder) as peers tell it
+        self._lock = threading.Lock()
+        self._unheard: dict[str, float] = {}  # block -> steady time until which we would rather not hold it
+        self._nodes_since: dict[str, float] = {}
+        self._at_home: dict[str, tuple[str, float]] = {}  # block -> its zone's holder, and when it last held it
+        self.wake = threading.Event()
+
+    # Our lease
+
+    def start(self) -> None:
+        threading.Thread(target=self._keep, name="lease", daemon=True).start()
+        threading.Thread(target=self._blocks, name="blocks", daemon=True).start()
+
+    def _keep(self) -> None:
+        pause = self._lease_s / 4.0
+        while True:
+            began = time.monotonic()
+            if self.keep_lease():
+                time.sleep(max(0.0, pause - (time.monotonic() - began)))
+            else:
+                time.sleep(random.uniform(0.3, 0.7) * pause)
+
+    def keep_lease(self) -> bool:
+        began = time.monotonic()
+        try:
+            if self._unheard and min(self._unheard.values()) < began:
+                self._announce()
+            if self.lease is None or not self.state.extend_lease(self.lease):
+                if self.lease is not None:
+                    log.info("lease %s has ended", self.lease)
+                self.lease = self.state.grant_lease(self._lease_s)
+                self._announce()
+        except NoSuchLease:
+            self.lease = None
+            return False
+        except FAILURES as error:
+            log.info("lease: %s", error)
+            return False
+        # drift: clocks may run fast by 0.05%, so a lease is trusted a little less long
+        self.lease_until = began + self._lease_s * 0.999
+        return True
+
+    def _announce(self) -> None:
+        now = time.monotonic()
+        self._unheard = {block: until for block, until in self._unheard.items() if until > now}
+        value = {"lease": self.lease, "zone": self.settings.zone, "unheard": sorted(self._unheard)}
+        self.state.transact({}, [(NODE + self.settings.name, value, self.lease)], "lease")
+
+    @property
+    def lease_valid(self) -> bool:
+        return time.monotonic() < self.lease_until
+
+    def unheard(self, block: str, machines: int, seconds: float) -> None:
+        """We hear none of a block's machines: another controller may, and should hold it for a while."""
+        if block in self._unheard:
+            return
+        log.info("block %s: none of %d machines is heard", block, machines)
+        self._unheard[block] = time.monotonic() + seconds
+        try:
+            self._announce()
+        except FAILURES as error:
+            log.info("block %s: %s", block, error)
+
+    def heard_by_nobody(self, block: str) -> bool:
+        """Whether every live controller has tried and hears none of the block's machines."""
+        return all(block in value.get("unheard", ()) for value, _ in self.mirror.under(NODE).values())
+
+    def left_alone(self, block: str) -> tuple[str, float] | None:
+        """The controller of the block's own zone, to which it was granted, and since when it is out of touch, if it is.
+
+        A zone that is cut off goes on working inside: such a controller may answer its workers for as long as
+        `answer_bound_s`, and their tasks go on.
+        """
+        name, seen = self._at_home.get(block, ("", 0.0))
+        if not name or self.mirror.get(NODE + name)[0] is not None:
+            return None
+        return name, seen - self._lease_s  # it may have lost touch a lease before its grant ended
+
+    # Blocks
+
+    def holder(self, block: str) -> str | None:
+        value, version = self.mirror.get(BLOCK + block)
+        with self._lock:
+            outbid = self._outbid.get(block)
+        if outbid and outbid[0] > version:
+            return outbid[1]
+        return value["holder"] if value else None
+
+    def grant(self, block: str) -> Grant | None:
+        """Ours to act on; None once a peer has told us of a higher token."""
+        with self._lock:
+            grant = self._held.get(block)
+            outbid = self._outbid.get(block)
+        if grant is None or (outbid and outbid[0] > grant.token):
+            return None
+        return grant
+
+    def grants(self) -> list[Grant]:
+        with self._lock:
+            blocks = list(self._held)
+        return [grant for grant in map(self.grant, blocks) if grant is not None]
+
+    def held_zones(self) -> dict[str, tuple[str, int]]:
+        """The zones whose blocks are ours, with the conditions that they still are."""
+        return {zone_of(grant.block): self.condition(grant) for grant in self.grants()}
+
+    def condition(self, grant: Grant) -> tuple[str, int]:
+        return BLOCK + grant.block, grant.token
+
+    def raise_token(self, grant: Grant) -> None:
+        """Grant ourselves the block anew: what was sent under the old token can't be executed once the new one
+        is known to a worker."""
+        if self.lease is not None and self.lease_valid:
+            try:
+                self._put_block(grant.block, grant.token, self.settings.name, self.lease)
+            except FAILURES as error:
+                log.info("block %s: no new token: %s", grant.block, error)
+
+    def deposed(self, block: str, token: int) -> None:
+        """A worker has seen a higher token than ours."""
+        with self._lock:
+            grant = self._held.get(block)
+            if grant is not None and token > grant.token:
+                del self._held[block]
+                log.info("block %s: token %s is above ours, %s", block, token, grant.token)
+
+    def table(self) -> dict[str, tuple[int, str]]:
+        return {key[len(BLOCK):]: (version, value["holder"])
+                for key, (value, version) in self.mirror.under(BLOCK).items()}
+
+    def told(self, table: dict[str, Any]) -> None:
+        with self._lock:
+            for block, (token, holder) in table.items():
+                if token > self._outbid.get(block, (0, ""))[0]:
+                    self._outbid[block] = (token, holder)
+
+    def _blocks(self) -> None:
+        while True:
+            self.wake.wait(self._lease_s / 10.0)
+            self.wake.clear()
+            self.tend_blocks()
+
+    def tend_blocks(self) -> None:
+        if not self.mirror.loaded.is_set():
+            return
+        try:
+            self._take_up()
+            self._lead()
+            self.formats.announce()
+            term = self.term
+            if term is not None:
+                self.formats.raise_if_all_read({LEADER: term})
+        except Conflict as conflict:
+            # our cache is behind: after a refusal of us alone the old watch may hang on for its full time
+            log.info("blocks: conflict over %s", conflict)
+            self.mirror.barrier(self.state.timeout, "claim")
+        except FAILURES as error:
+            log.info("blocks: %s", error)
+            time.sleep(random.uniform(0.02, 0.1) * self._lease_s)
+
+    def _take_up(self) -> None:
+        """Notice grants and losses; after a restart, take our own blocks back at once."""
+        fresh = {}
+        lost = []
+        zones = {peer.name: peer.zone for peer in self.settings.peers}
+        for key, (value, version) in self.mirror.under(BLOCK).items():
+            block = key[len(BLOCK):]
+            if zones.get(value["holder"]) == zone_of(block):
+                self._at_home[block] = (value["holder"], time.monotonic())
+            if value["holder"] != self.settings.name:
+                continue
+            if value["lease"] != self.lease:
+                if self.lease is not None and self.lease_valid:
+                    self._put_block(block, version, self.settings.name, self.lease)
+                continue
+            with self._lock:
+                held = self._held.get(block)
+            if held is None or held.token < version:
+                fresh[block] = version
+        current = self.mirror.under(BLOCK)
+        with self._lock:
+            for block, grant in list(self._held.items()):
+                value, version = current.get(BLOCK + block, (None, 0))
+                if value is None or version > grant.token and value["holder"] != self.settings.name:
+                    lost.append(block)
+                    del self._held[block]
+        for block in lost:
+            log.info("block %s is no longer ours", block)
+        # Claims that were recorded before the grant must be known before the first answer: our own transactions
+        # reach the cache ahead of others' earlier ones.
+        if fresh and self.mirror.barrier(self.state.timeout, "claim"):
+            taken = [Grant(block, token, time.monotonic()) for block, token in fresh.items()]
+            with self._lock:
+                self._held.update((grant.block, grant) for grant in taken)
+            for grant in taken:
+                log.info("block %s is ours with token %s", grant.block, grant.token)
+                self._took_up(grant)
+
+    def _put_block(self, block: str, version: int, holder: str, lease: int) -> None:
+        value = {"holder": holder, "lease": lease}
+        key = BLOCK + block
+        try:
+            self.mirror.write({key: version}, [(key, value, lease)], "lease")
+            self.wake.set()
+        except NoSuchLease:
+            log.debug("block %s: %s has no lease any more", block, holder)
+
+    # Leading
+
+    @property
+    def term(self) -> int | None:
+        """The revision of our election while we lead."""
+        value, version = self.mirror.get(LEADER)
+        if value is None or value["node"] != self.settings.name or value["lease"] != self.lease:
+            return None
+        return version if self.lease_valid else None
+
+    def _lead(self) -> None:
+        value, version = self.mirror.get(LEADER)
+        if value is None or (value["node"] == self.settings.name and value["lease"] != self.lease):
+            if self.lease is None or not self.lease_valid:
+                return
+            if value is None:
+                time.sleep(random.uniform(0, 0.05) * self._lease_s)
+            value = {"node": self.settings.name, "lease": self.lease}
+            try:
+                revision = self.mirror.write({LEADER: version}, [(LEADER, value, self.lease)], "lease")
+            except Conflict:
+                self.mirror.barrier(self.state.timeout, "claim")
+                return
+            log.info("leader from revision %s on", revision)
+        if self.term is not None:
+            self._share_out()
+
+    def _share_out(self) -> None:
+        now = time.monotonic()
+        nodes = {key[len(NODE):]: value for key, (value, _) in self.mirror.under(NODE).items()}
+        self._nodes_since = {name: self._nodes_since.get(name, now) for name in nodes}
+        blocks = self.mirror.under(BLOCK)
+        held = dict.fromkeys(nodes, 0)
+        for value, _ in blocks.values():
+            if value["holder"] in held:
+                held[value["holder"]] += 1
+        every = {block_of(zone) for zone in self.settings.zones}
+        every |= {key[len(BLOCK):] for key in blocks}
+        for block in sorted(every):
+            value, version = blocks.get(BLOCK + block, (None, 0))
+            holder = value["holder"] if value else None
+            zone = zone_of(block)
+
+            def rank(name: str, block: str = block, zone: str = zone) -> tuple:
+                # who can hear the block's machines; who is in its zone; who has least
+                return block in nodes[name].get("unheard", ()), nodes[name]["zone"] != zone, held[name], name
+
+            if not nodes:
+                return
+            best = min(nodes, key=rank)
+            if holder is None:
+                self._give(block, version, best, nodes, held, None)
+            elif holder != best and holder in nodes:
+                unheard, abroad, load, _ = rank(holder)
+                better = rank(best)
+                settled = now - self._nodes_since[best] > self._lease_s
+                if (unheard and not better[0]) or (
+                        settled and not better[0] and (abroad and not better[1] or load - better[2] >= 2
+                                                       and abroad == better[1])):
+                    self._give(block, version, best, nodes, held, holder)
+
+    def _give(self, block: str, version: int, name: str, nodes: dict[str, Any], held: dict[str, int],
+              before: str | None) -> None:
+        self._put_block(block, version, name, nodes[name]["lease"])
+        held[name] += 1
+        if before is not None:
+            held[before] -= 1
+        log.info("block %s goes to %s", block, name)
--- a/tidebend/coordination/formats.py
+++ b/tidebend/coordination/formats.py
@@ -59,8 +59,7 @@
         log.info("format %d is in force from now on; there is no way back below it", NEWEST)
 
     def _put(self, key: str, value: dict[str, int], conditions: dict[str, int]) -> None:
-        revision = self.state.transact(conditions, [(key, value, None)], "lease")
-        self.mirror.apply([(key, value, revision)])
+        self.mirror.write(conditions, [(key, value, None)], "lease")
 
 
 def show(settings: Settings) -> int:
--- /dev/null
+++ b/tidebend/coordination/peers.py
@@ -0,0 +1,76 @@
+"""What controllers tell each other."""
+
+from __future__ import annotations
+
+import logging
+import random
+import socket
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from tidebend.settings import Peer, Settings
+from tidebend.transport import FrameServer, receive_frame, send_frame
+
+log = logging.getLogger("coordination")
+
+
+@dataclass
+class PeerNews:
+    """What a peer told us last."""
+
+    at: float = -1e9
+    state_contact: float = -1e9  # time of day of its last contact with the state service
+    machines: list[list[Any]] | None = None
+    blocks: frozenset[str] = frozenset()  # those it holds
+
+
+class PeerLink:
+    """Frames to each peer, about once a report interval, with what we know of blocks and machines."""
+
+    def __init__(self, settings: Settings, news: Callable[[], dict[str, Any]],
+                 told: Callable[[dict[str, Any]], None]) -> None:
+        self.settings = settings
+        self._news = news
+        self._told = told
+        self.pause = min(1.0, settings.report_s / 2.0)
+        self.peers: dict[str, PeerNews] = {peer.name: PeerNews() for peer in settings.peers}
+
+    def start(self) -> None:
+        server = FrameServer(self.settings.peer_listen, self.receive, 10.0 * self.pause)
+        threading.Thread(target=server.serve_forever, name="peers", daemon=True).start()
+        for peer in self.settings.peers:
+            threading.Thread(target=self._send, args=(peer,), name=f"to-{peer.name}", daemon=True).start()
+
+    def receive(self, frame: Any) -> None:
+        if not isinstance(frame, dict):
+            return
+        news = self.peers.get(frame.get("from", ""))
+        if news is None:
+            return
+        try:
+            news.state_contact = float(frame["state_contact"])
+            news.machines = list(frame["machines"])
+            news.blocks = frozenset(frame["held"])
+            news.at = time.monotonic()
+            self._told(frame["blocks"])
+        except (KeyError, TypeError, ValueError) as error:
+            log.error("peer frame: %r", error)
+
+    def _send(self, peer: Peer) -> None:
+        stream: socket.socket | None = None
+        while True:
+            try:
+                if stream is None:
+                    stream = socket.create_connection(peer.address, timeout=2.0 * self.pause)
+                    stream.settimeout(2.0 * self.pause)
+                send_frame(stream, self._news())
+                receive_frame(stream)
+            except OSError as error:
+                log.debug("peer %s: %s", peer.name, error)
+                if stream is not None:
+                    stream.close()
+                    stream = None
+            time.sleep(self.pause * random.uniform(0.8, 1.2))
--- /dev/null
+++ b/tidebend/provisioning/needs.py
@@ -0,0 +1,84 @@
+"""What to rent for the waiting work."""
+
+from __future__ import annotations
+
+import math
+
+from tidebend.provisioning.capacity import Capacity, Offer, Rental
+from tidebend.scheduling import EPSILON, Want, need_of, times_fit
+
+# estimates are often wrong by half: count on tasks that take that much longer
+WRONG_BY = 1.5
+# of the time until tasks must begin at the latest, this share may pass while they wait for others to end: these, too,
+# take longer than estimated, and others come meanwhile
+SPARE = 0.5
+
+
+def _side_by_side(want: Want, now: float) -> int:
+    """How many of the waiting tasks must run at a time for the job to make its soft deadline."""
+    if want.service or want.spec.kind == "gang":
+        return want.waiting
+    left = want.value.soft - now
+    turns = max(1, math.floor(left / max(WRONG_BY * want.estimate, 0.1)))
+    return math.ceil(want.waiting / turns)
+
+
+def to_rent(wants: list[Want], capacities: list[Capacity], offers: list[Offer], now: float,
+            rank: dict[str, int]) -> list[Rental]:
+    """Machines for the waiting work that those at hand can't serve in time, by cost for each task.
+
+    `offers` leaves out what the cloud lately had none of; `rank` spreads rentals over the zones (fewest first).
+    """
+    counts: dict[Offer, int] = {}
+    order = sorted(wants, key=lambda want: (not want.service, -want.value.start, want.value.soft, want.job))
+    for want in order:
+        need = need_of(want.spec)
+        allowed = [offer for offer in offers if offer.type.fits(want.spec) and (want.spec.spot or not offer.spot)
+                   and offer.zone in offer.type.zones and want.spec.zone in (None, offer.zone)
+                   and want.zone_room(offer.zone) > 0 and not (want.keeps_off_gpus and offer.type.gpus > 0)]
+        boot_s = min((offer.type.boot_s for offer in allowed), default=0.0)
+        ready_in = max(0.0, want.not_before - now)
+        if ready_in > boot_s:
+            continue  # it waits for others, and a machine would be up before they are done
+        missing = min(_side_by_side(want, now), want.headroom, want.waiting)
+        slack = 0.0
+        if not want.service:
+            slack = max(0.0, min(SPARE * (want.value.soft - now - WRONG_BY * want.estimate), want.start_by - now))
+        fitting = {kind.name for kind in {capacity.type for capacity in capacities}
+                   if kind.fits(want.spec) and not (want.keeps_off_gpus and kind.gpus > 0)}
+        for capacity in capacities:
+            if missing <= 0:
+                break
+            # most machines are promised to others already, and passed over by this comparison alone
+            if capacity.most_cpus + EPSILON < need[0] or capacity.type.name not in fitting:
+                continue
+            if (capacity.spot and not want.spec.spot) or want.spec.zone not in (None, capacity.zone):
+                continue
+            # what becomes free before the tasks must begin at the latest, or before a new machine could be up
+            room = capacity.room_by(max(slack, ready_in, boot_s if not want.service else 0.0))
+            tasks = min(missing, times_fit(room, need), want.zone_room(capacity.zone))
+            if tasks > 0:
+                capacity.take(need, tasks)
+                want.zones[capacity.zone] = want.zones.get(capacity.zone, 0) + tasks
+                missing -= tasks
+        while missing > 0:
+            best = None
+            for offer in allowed:
+                whole = (offer.type.cpus, offer.type.gpus, offer.type.memory_gb)
+                tasks = min(missing, times_fit(whole, need), want.zone_room(offer.zone))
+                if tasks < 1:
+                    continue
+                key = (offer.price / tasks, rank.get(offer.zone, 0) + counts.get(offer, 0), offer.type.boot_s,
+                       offer.type.name, offer.zone)
+                if best is None or key < best[0]:
+                    best = (key, offer, tasks, whole)
+            if best is None:
+                break
+            _, offer, tasks, whole = best
+            counts[offer] = counts.get(offer, 0) + 1
+            capacity = Capacity(offer.type, offer.zone, offer.spot, whole, offer.type.boot_s)
+            capacity.take(need, tasks)
+            capacities.append(capacity)
+            want.zones[offer.zone] = want.zones.get(offer.zone, 0) + tasks
+            missing -= tasks
+    return [Rental(offer, machines) for offer, machines in counts.items()]
--- /dev/null
+++ b/tidebend/scheduling/slots.py
@@ -0,0 +1,39 @@
+"""The best slot of a waiting task on a machine, and what it is worth."""
+
+from __future__ import annotations
+
+from tidebend.scheduling.amounts import EPSILON, need_of
+from tidebend.scheduling.wants import Place, Want
+
+# (-value per resource, finish, added gaps, gap, what the machine has left, its name, start)
+Slot = tuple[float, float, int, float, float, str, float]
+
+
+def rate_of(want: Want, finish: float, now: float) -> float:
+    """Value per resource of a slot that ends then; it never rises with the finish."""
+    if want.service:
+        # every second that a replica isn't up is lost, so that its earliest slot is worth the most
+        return want.value.start - (finish - want.estimate - now)
+    return want.value.at(finish) / max(want.estimate * want.share, EPSILON)
+
+
+def best_slot(want: Want, place: Place, now: float, latest: float) -> Slot | None:
+    """The earliest slot on a machine. Slots compare by value per resource; ties go to the earliest finish, the
+    fewest added idle gaps, the smallest gap, the tightest fit."""
+    if want.zone_room(place.zone) < 1:
+        return None
+    length = place.fetch_s(want.spec) + want.estimate
+    need = need_of(want.spec)
+    start = place.timeline.earliest(max(now, want.not_before), length, need, latest)
+    if start is None:
+        return None
+    finish = start + length
+    if finish > place.until:
+        return None
+    rate = rate_of(want, finish, now)
+    gaps, gap = place.timeline.gap(start, finish, need)
+    free = place.timeline.free[0]
+    left = free[0] / max(place.type.cpus, EPSILON) + free[2] / max(place.type.memory_gb, EPSILON)
+    # machines that may be taken are for those that can bear it
+    left += want.spec.spot and not place.spot
+    return -rate, round(finish, 3), gaps, gap, left, place.name, start
--- /dev/null
+++ b/tidebend/scheduling/timeline.py
@@ -0,0 +1,77 @@
+"""Free amounts of one machine over time."""
+
+from __future__ import annotations
+
+import math
+from bisect import bisect_right
+
+from tidebend.scheduling.amounts import Amount, times_fit
+
+
+class Timeline:
+    """Free amounts of one machine from now on, in steps; the last step lasts for ever."""
+
+    __slots__ = ("times", "free")
+
+    def __init__(self, start: float, free: Amount) -> None:
+        self.times = [start]
+        self.free = [free]
+
+    def _split(self, time: float) -> int:
+        """The index of the step that begins at `time`, which is made if there is none."""
+        for index in range(len(self.times) - 1, -1, -1):
+            if self.times[index] <= time:
+                if self.times[index] == time:
+                    return index
+                self.times.insert(index + 1, time)
+                self.free.insert(index + 1, self.free[index])
+                return index + 1
+        return 0
+
+    def take(self, start: float, end: float, amount: Amount) -> None:
+        first = self._split(start)
+        last = len(self.times) if end == math.inf else self._split(end)
+        for index in range(first, last):
+            free = self.free[index]
+            self.free[index] = (free[0] - amount[0], free[1] - amount[1], free[2] - amount[2])
+
+    def _index(self, time: float) -> int:
+        """The step that holds at `time`."""
+        return max(0, bisect_right(self.times, time) - 1)
+
+    def room(self, start: float, end: float, need: Amount) -> int:
+        """How many tasks fit from start to end."""
+        most = 1_000_000
+        for index in range(self._index(start), len(self.times)):
+            if self.times[index] >= end:
+                break
+            most = min(most, times_fit(self.free[index], need))
+            if not most:
+                break
+        return most
+
+    def earliest(self, after: float, length: float, need: Amount, latest: float) -> float | None:
+        """The first start at which a task fits without disturbing what is placed."""
+        start: float | None = None
+        for index in range(self._index(after), len(self.times)):
+            begin = self.times[index]
+            if start is not None and begin >= start + length:
+                return start
+            if not times_fit(self.free[index], need):
+                start = None
+            elif start is None:
+                start = max(begin, after)
+                if start > latest:
+                    return None
+        return start
+
+    def gap(self, start: float, end: float, need: Amount) -> tuple[int, float]:
+        """The change in the number of idle gaps that a task from start to end makes, and its gap's length."""
+        first = index = self._index(start)
+        while first > 0 and times_fit(self.free[first - 1], need):
+            first -= 1
+        index += 1
+        while index < len(self.times) and times_fit(self.free[index], need):
+            index += 1
+        last = self.times[index] if index < len(self.times) else math.inf
+        return (start > self.times[first]) + (end < last) - 1, last - self.times[first]
--- /dev/null
+++ b/tidebend/service/claims.py
@@ -0,0 +1,93 @@
+"""Claims on places: recorded before any start goes out."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from functools import partial
+
+from tidebend.bookkeeping.claims import Claim
+from tidebend.bookkeeping.jobs import Job
+from tidebend.bookkeeping.tasksets import lowest, members
+from tidebend.coordination import Coordinator
+from tidebend.scheduling import Demand, Placement, Want, value_of
+from tidebend.service.ends import Ends, ProvenEnds
+from tidebend.service.ledger import Edit, Ledger
+from tidebend.service.places import Found
+from tidebend.service.waiting import Waiting
+from tidebend.settings import Settings
+from tidebend.tenancy import Usage
+
+log = logging.getLogger("planner")
+
+
+class Claims:
+    def __init__(self, settings: Settings, coordinator: Coordinator, ledger: Ledger, ends: Ends, waiting: Waiting,
+                 send: Callable[[set[str]], None]) -> None:
+        self.settings = settings
+        self.coordinator = coordinator
+        self.ledger = ledger
+        self.ends = ends
+        self.waiting = waiting
+        self.send = send
+        self.at: dict[str, float] = {}  # job -> steady time of our last claim for it
+
+    def claim(self, chosen: dict[str, list[Placement]], places: Found) -> None:
+        at = time.time()
+        edits = []
+        for name, group in chosen.items():
+            end = self.ends.proven.get(name)
+            conditions = dict(self.coordinator.condition(places[placement.machine][2]) for placement in group)
+            if end is not None:
+                conditions.update(self.ends.conditions(end))
+            edits.append(Edit(name, partial(self._claimed, group=group, places=places, at=at, end=end), conditions))
+        changed = self.ledger.change_all(edits) if edits else {}
+        now = time.monotonic()
+        for name in changed:
+            self.ends.went_with_a_claim(name)
+            if changed[name].running >= sum(placement.tasks for placement in chosen[name]):
+                self.at[name] = now  # else more of its parts follow at once
+            log.debug("claimed for %s: %s", name, [(p.machine, p.tasks) for p in chosen[name]])
+        self.send({placement.machine for name in changed for placement in chosen[name]})
+
+    def _claimed(self, job: Job, usage: Usage, group: list[Placement],
+                 places: Found, at: float, end: ProvenEnds | None) -> Job | None:
+        """The job with claims for a group of placements: the rules that span holders are checked against the very
+        records that the transaction compares."""
+        if end is not None:
+            before, job = job, self.ends.without(job, usage, end)
+            usage = usage.freed(job.spec, before.running - job.running)
+        pending = job.pending
+        spec = job.spec
+        team = self.settings.teams.get(spec.team)
+        gang = spec.kind == "gang"
+        if gang and sum(p.tasks for p in group) != pending.bit_count():
+            return None
+        if gang and job.claims and not self.waiting.still_gathers(job, at):
+            return None
+        # replacements have the attempt of those that wait for them
+        attempt = job.claims[0].attempt if gang and job.claims else job.started + 1
+        want = Want(job.id, spec, value_of(Demand(0), 0, 1), 1, pending.bit_count(), job.per_zone())
+        claims = []
+        for placement in group:
+            machine = places[placement.machine][1]
+            tasks = lowest(pending, min(placement.tasks, want.zone_room(machine.zone)))
+            if not tasks:
+                continue
+            if attempt <= job.started and any((job.id, index, attempt) in machine.tasks for index in members(tasks)):
+                return None  # it would not be started a second time
+            usage = usage.plus(spec, tasks.bit_count())
+            if team is not None and not team.allows(usage.cpus, usage.gpus):
+                break
+            want.zones[machine.zone] = want.zones.get(machine.zone, 0) + tasks.bit_count()
+            pending &= ~tasks
+            claims.append(Claim(machine.name, machine.session, attempt, tasks, at, machine.zone))
+        if not claims or (gang and pending):
+            return None
+        new = job.with_claims(claims)
+        while not gang and len(claims) > 1 and not self.ledger.sizes.fits(new, job):
+            # a record holds only so many claims: the rest follows as these end
+            claims = claims[:len(claims) // 2]
+            new = job.with_claims(claims)
+        return new if gang or not job.claims or self.ledger.sizes.fits(new, job) else None
--- /dev/null
+++ b/tidebend/service/controller.py
@@ -0,0 +1,144 @@
+"""Wiring: one controller's parts, threads and routes."""
+
+from __future__ import annotations
+
+import gc
+import logging
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+from tidebend import protocol
+from tidebend.bookkeeping.book import JobBook
+from tidebend.bookkeeping.jobs import HEAD, JOB
+from tidebend.bookkeeping.machines import Fleet
+from tidebend.bookkeeping.parts import PART
+from tidebend.coordination import Coordinator, PeerLink, block_of
+from tidebend.coordination.formats import FORMAT, Formats
+from tidebend.service.ledger import Ledger
+from tidebend.service.planner import Planner
+from tidebend.service.rentals import Rentals
+from tidebend.service.shares import ShareMoves
+from tidebend.service.sizes import Sizes
+from tidebend.service.users import Users
+from tidebend.service.workers import Dispatcher, Workers
+from tidebend.settings import Settings
+from tidebend.storage import FINAL, Mirror, StateClient
+from tidebend.transport import HttpClient, Reply, Server
+
+log = logging.getLogger("service")
+
+STACK_BYTES = 256 * 1024
+KEEP_FINALS = 20_000
+
+
+class Controller:
+    def __init__(self, settings: Settings, connect: Callable[..., HttpClient] = HttpClient) -> None:
+        self.settings = settings
+        lock = threading.RLock()
+        self.state = StateClient(settings.state, settings.state_limits, settings.controllers,
+                                 max(0.6, settings.controller_lease_s / 4.0), connect)
+        self.book = JobBook(lock, KEEP_FINALS)
+        self.mirror = Mirror(self.state, self._changed, lock, watch_s=settings.lease_s)
+        self.fleet = Fleet()
+        self.dispatcher = Dispatcher(settings, self.book, self.fleet, lambda: self.planner.wake(), connect)
+        self.formats = Formats(settings, self.state, self.mirror)
+        self.coordinator = Coordinator(settings, self.state, self.mirror, self.dispatcher.took_up, self.formats)
+        self.shares = ShareMoves(settings, self.mirror, self.book, self.formats, self.coordinator.held_zones)
+        self.sizes = Sizes(settings.state_limits, self.formats, self.state.writes_per_s)
+        self.ledger = Ledger(self.mirror, self.book, self.shares, self.sizes)
+        self.planner = Planner(settings, self.coordinator, self.book, self.fleet, self.ledger, self.shares,
+                               self._types, self.dispatcher.send)
+        self.link = PeerLink(settings, self.news, self.coordinator.told)
+        self.dispatcher.coordinator, self.dispatcher.link = self.coordinator, self.link
+        self.rentals = Rentals(settings, self.coordinator, self.link, self.book, self.fleet, self.ledger,
+                               self.planner, connect)
+        self.users = Users(settings, self.state, self.mirror, self.book, self.ledger, self.formats, self._types,
+                           self.planner.wake)
+        self.planner.look_up = self.users.look_up
+        self.workers = Workers(settings, self.state, self.book, self.fleet, self.coordinator, self.planner.wake)
+
+    def _types(self) -> dict[str, protocol.MachineType]:
+        return self.rentals.types
+
+    def _changed(self, key: str, value: Any, version: int) -> None:
+        self.book.on_change(key, value, version)
+        if key == FORMAT and self.formats.pipelines:
+            # from now on the limits that are to come may be in force
+            self.state.keep_within(self.settings.state_next)
+            self.sizes.keep_within(self.settings.state_next, self.state.writes_per_s)
+            log.info("format %d is in force", self.formats.version)
+        if key.startswith((JOB, HEAD, PART, FINAL)):
+            self.planner.wake()
+        else:
+            self.coordinator.wake.set()
+
+    def _contact(self) -> float:
+        """Time of day of the last contact with the state service."""
+        return time.time() - (time.monotonic() - self.state.last_contact)
+
+    def news(self) -> dict[str, Any]:
+        machines = [[m.name, m.type, m.zone, int(m.spot), 0, *(m.address or ("", 0)), m.session]
+                    for m in self.fleet.all()
+                    if not m.draining and not m.releasing and self.coordinator.grant(block_of(m.zone))]
+        machines += [[name, "", "", 0, 1, "", 0, 0] for name in list(self.rentals.gone_news)]
+        return {"from": self.settings.name, "state_contact": self._contact(), "machines": machines,
+                "held": [grant.block for grant in self.coordinator.grants()], "blocks": self.coordinator.table()}
+
+    def ready(self) -> bool:
+        """Whether this node can decide requests. When nobody can, staying up still serves final answers."""
+        if not self.mirror.loaded.is_set() or not self.rentals.types:
+            return False
+        bound = self.settings.controller_lease_s
+        if time.monotonic() - self.state.last_contact <= bound:
+            return True
+        now = time.monotonic()
+        others = [time.time() - peer.state_contact <= bound + self.settings.clock_off_s
+                  for peer in self.link.peers.values() if now - peer.at <= bound]
+        return not any(others)
+
+    def route(self, method: str, path: str, body: Callable[[], bytes]) -> Reply:
+        path = path.partition("?")[0]
+        if path == protocol.PATH_REPORT:
+            return self.workers.report(body()) if method == "POST" else Reply(405, {"error": "use POST"})
+        if path == protocol.PATH_READY:
+            if method not in ("GET", "HEAD"):
+                return Reply(405, {"error": "use GET"})
+            return Reply(200, {}) if self.ready() else Reply(503, {"error": "not ready"}, {"Retry-After": "1"})
+        if path == protocol.PATH_JOBS:
+            return self.users.submit(body()) if method == "POST" else Reply(405, {"error": "use POST"})
+        if path.startswith(protocol.PATH_JOBS + "/"):
+            name, slash, action = path[len(protocol.PATH_JOBS) + 1:].partition("/")
+            if not slash:
+                return self.users.poll(name) if method == "GET" else Reply(405, {"error": "use GET"})
+            if action == "cancel":
+                if method != "POST":
+                    return Reply(405, {"error": "use POST"})
+                body()
+                return self.users.cancel(name)
+        return Reply(404, {"error": "no such path"})
+
+    def begin(self) -> None:
+        """Start all threads; requests reach us through `route`, by whichever server."""
+        self.mirror.start()
+        self.coordinator.start()
+        if self.settings.peers:
+            self.link.start()
+        self.dispatcher.start()
+        self.planner.start()
+        self.rentals.start()
+
+    def start(self) -> Server:
+        server = Server(self.settings.listen, self.route, idle_s=2.0 * self.settings.lease_s,
+                        body_s=min(5.0, self.settings.lease_s / 2.0), most=self.settings.max_sockets * 2 // 3)
+        self.begin()
+        return server
+
+
+def run(settings: Settings) -> None:
+    threading.stack_size(STACK_BYTES)
+    gc.set_threshold(5000, 20, 50)
+    server = Controller(settings).start()
+    log.info("%s in %s serves on %s:%d", settings.name, settings.zone, *settings.listen)
+    server.serve_forever(poll_interval=5.0)
--- /dev/null
+++ b/tidebend/service/ends.py
@@ -0,0 +1,212 @@
+"""Ends of tasks: proven by workers' reports, gathered for a moment, recorded."""
+
+from __future__ import annotations
+
+import logging
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from tidebend.bookkeeping.book import JobBook
+from tidebend.bookkeeping.jobs import Job
+from tidebend.bookkeeping.machines import Fleet, Machine
+from tidebend.bookkeeping.tasksets import members
+from tidebend.coordination import Coordinator, Grant, block_of
+from tidebend.protocol import JobSpec
+from tidebend.service.estimates import Estimates
+from tidebend.service.ledger import Edit, Ledger
+from tidebend.service.sizes import packed_bytes
+from tidebend.settings import Settings
+from tidebend.tenancy import Usage
+
+log = logging.getLogger("planner")
+
+# ends that aren't urgent take about this share of our changes at the state service
+ENDS_SHARE = 0.25
+
+Key = tuple[str, int, int]  # job, index, attempt
+
+
+@dataclass
+class Setback:
+    """A job's failures: it is tried again with growing pauses."""
+
+    failures: int = 0
+    not_before: float = 0.0
+
+
+@dataclass
+class ProvenEnds:
+    ended: dict[tuple[str, int, int], int] = field(default_factory=dict)
+    done: int = 0
+    grants: set[Grant] = field(default_factory=set)
+
+
+class Ends:
+    """What has ended in our blocks and isn't recorded yet."""
+
+    def __init__(self, settings: Settings, coordinator: Coordinator, book: JobBook, fleet: Fleet, ledger: Ledger,
+                 estimates: Estimates, send: Callable[[set[str]], None]) -> None:
+        self.settings = settings
+        self.coordinator = coordinator
+        self.book = book
+        self.fleet = fleet
+        self.ledger = ledger
+        self.estimates = estimates
+        self.send = send
+        self.setbacks: dict[str, Setback] = {}
+        self.proven: dict[str, ProvenEnds] = {}  # and not yet recorded
+        self._since: dict[str, float] = {}  # job -> steady time since which ends wait to be recorded
+        self.gather_s = settings.knobs.gather * settings.lease_s
+        # an array whose tasks follow one another as room comes up claims no more often than this: each time costs
+        self.claim_pause_s = 0.5 * self.gather_s
+
+    def settle(self) -> None:
+        """Find the ends that are proven by the reports of workers who have confirmed our token."""
+        ends: dict[str, ProvenEnds] = {}
+        for grant in self.coordinator.grants():
+            for machine in self.fleet.all():
+                if machine.unsettled and block_of(machine.zone) == grant.block:
+                    self._ends_on(machine, grant, ends)
+        unwanted = set()
+        leads = self.coordinator.term is not None  # of three that would write the same, two would fail
+        for job in self.book.live():
+            if job.cancelled:
+                unwanted.update(claim.machine for claim in job.claims)
+            if leads and not job.claims and (job.cancelled or job.complete):
+                ends.setdefault(job.id, ProvenEnds())  # its final record is missing: cancelled with what it waited for
+        self.send(unwanted)
+        self._resolve_doubts()
+        self.proven = ends
+        for name in [name for name in self._since if name not in ends]:
+            del self._since[name]
+
+    def record(self) -> None:
+        """Ends are gathered for a moment: the tasks of an array end one after the other, and each write counts.
+
+        Their room is free at once, since it is planned from the workers' reports. A job's last end with us isn't kept
+        waiting, and neither is a team at its limit; the others also go with the job's next claim.
+        """
+        now = time.monotonic()
+        due = []
+        # the more jobs there are whose tasks end, the longer they are gathered: other changes need the budget more
+        gather_s = max(self.gather_s, min(self.settings.lease_s,
+                                          len(self.proven) / (ENDS_SHARE * self.ledger.mirror.state.writes_per_s)))
+        for name, end in self.proven.items():
+            job = self.book.get(name)
+            if job is None:
+                continue
+            since = self._since.setdefault(name, now)
+            if job.spec.kind != "array" or now - since >= gather_s or self._is_last(job, end) or (
+                    now - since >= self.claim_pause_s and self._at_limit(job.spec)):
+                due.append(Edit(name, partial(self.without, end=end), self.conditions(end)))
+        if due:
+            recorded = self.ledger.change_all(due)
+            for name in recorded:
+                self._since.pop(name, None)
+            log.debug("ends recorded for %s", ", ".join(recorded))
+
+    def conditions(self, end: ProvenEnds) -> dict[str, int]:
+        return dict(self.coordinator.condition(grant) for grant in end.grants)
+
+    def _is_last(self, job: Job, end: ProvenEnds) -> bool:
+        """Whether nothing of the job is left in our blocks once these ends are recorded."""
+        if job.cancelled or job.done | end.done == job.all_tasks:
+            return True
+        ours = {grant.block for grant in self.coordinator.grants()}
+        return not job.pending and not any(
+            claim.tasks & ~end.ended.get((claim.machine, claim.session, claim.attempt), 0)
+            for claim in job.claims if block_of(claim.zone) in ours)
+
+    def _at_limit(self, spec: JobSpec) -> bool:
+        team = self.settings.teams.get(spec.team)
+        usage = self.book.team(spec.team, self.coordinator.held_zones())
+        return team is not None and not team.allows(usage.cpus + spec.cpus, usage.gpus + spec.gpus)
+
+    def without(self, job: Job, _: Usage, end: ProvenEnds) -> Job:
+        new = job.without(end.ended, end.done)
+        if end.done and not job.parts and not self.ledger.sizes.fits(new) and not (new.complete or new.cancelled):
+            # the numbers of the done tasks are too scattered for a record: results are kept by the platform, so that
+            # a task started again is done at once
+            scattered = job.without(end.ended, 0)
+            return new if packed_bytes(new.pack()) <= self.ledger.sizes.value_bytes else scattered
+        return new
+
+    def _resolve_doubts(self) -> None:
+        """A direct start without an answer may be executed late: a new token puts an end to that."""
+        now = time.monotonic()
+        for grant in self.coordinator.grants():
+            with self.fleet.lock:
+                doubt = any(token >= grant.token and now - at > self.settings.report_s
+                            for machine in self.fleet.machines.values() if block_of(machine.zone) == grant.block
+                            for token, at in machine.doubtful.values())
+            if doubt and now - grant.since > self.settings.report_s:
+                self.coordinator.raise_token(grant)
+
+    def _ends_on(self, machine: Machine, grant: Grant, ends: dict[str, ProvenEnds]) -> None:
+        now = time.monotonic()
+        with self.fleet.lock:
+            if machine.token != grant.token:
+                return
+            machine.unsettled = False
+            for job, claim in self.book.on_machine(machine.name):
+                ended = done = 0
+                if claim.session < machine.session:
+                    ended = claim.tasks  # the worker has begun a later session: it killed and forgot them all
+                elif claim.session == machine.session:
+                    for index in members(claim.tasks):
+                        key = (job.id, index, claim.attempt)
+                        task = machine.tasks.get(key)
+                        if task is None:
+                            if self._absent(machine, job, key):
+                                ended |= 1 << index
+                        elif task.state == "ended":
+                            ended |= 1 << index
+                            if task.why == "done":
+                                done |= 1 << index
+                            self._observe(machine, job, key, task.why, now)
+                if ended:
+                    machine.unsettled = True  # until the record says so
+                    end = ends.setdefault(job.id, ProvenEnds())
+                    place = (claim.machine, claim.session, claim.attempt)
+                    end.ended[place] = end.ended.get(place, 0) | ended
+                    if done and job.spec.kind == "gang":
+                        done = job.all_tasks  # a gang's tasks complete together
+                    end.done |= done
+                    end.grants.add(grant)
+
+    def _absent(self, machine: Machine, job: Job, key: Key) -> bool:
+        """Whether a task that isn't reported, and isn't wanted any more, can't be started either.
+
+        Earlier holders' starts carry lower tokens than the one that the worker has confirmed.
+        """
+        return (job.cancelled or key in machine.stops) and machine.can_no_longer_start(key)
+
+    def _observe(self, machine: Machine, job: Job, key: Key, why: str | None, now: float) -> None:
+        if key in machine.observed:
+            return  # its record waits to be written
+        machine.observed.add(key)
+        since = machine.running_since.pop(key, None)
+        if why == "done":
+            if since is not None and job.spec.kind != "service":
+                self.estimates.observe(job.spec.job_class, job.spec.estimate_s, now - since)
+            machine.failures.clear()
+            self.setbacks.pop(job.id, None)
+        elif why == "error" and machine.failures.get(job.id, 0.0) < now - 0.01:
+            machine.failures[job.id] = now
+            setback = self.setbacks.setdefault(job.id, Setback())
+            setback.failures += 1
+            # one failure is mostly the machine's; a job that fails again and again is tried ever less often
+            setback.not_before = now + min(8.0, 0.25 * 2.0 ** (setback.failures - 1)) * self.settings.report_s
+            log.info("machine %s: %s failed", machine.name, key)
+            others = [name for name in machine.failures
+                      if name == job.id or self.setbacks.get(name, Setback()).failures < 3]
+            if len(others) >= 2 and not machine.draining:
+                machine.draining = True
+                log.info("machine %s is set aside: tasks of several jobs fail there", machine.name)
+
+    def went_with_a_claim(self, name: str) -> None:
+        """A job's ends were recorded in the transaction of its next claim."""
+        self._since.pop(name, None)
+        self.proven.pop(name, None)
--- /dev/null
+++ b/tidebend/service/places.py
@@ -0,0 +1,101 @@
+"""Our machines as a mapping event sees them: what is free on each of them, and when."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+
+from tidebend.bookkeeping.book import JobBook
+from tidebend.bookkeeping.claims import Claim
+from tidebend.bookkeeping.jobs import Job
+from tidebend.bookkeeping.machines import Fleet, Machine
+from tidebend.bookkeeping.tasksets import members
+from tidebend.coordination import Coordinator, Grant, block_of
+from tidebend.protocol import MachineType
+from tidebend.scheduling import Amount, Place, Timeline, need_of
+from tidebend.service.ends import Key
+from tidebend.service.estimates import Estimates
+from tidebend.settings import Settings
+
+Found = dict[str, tuple[Place, Machine, Grant]]
+
+
+class Places:
+    def __init__(self, settings: Settings, coordinator: Coordinator, book: JobBook, fleet: Fleet,
+                 types: Callable[[], dict[str, MachineType]], estimates: Estimates) -> None:
+        self.settings = settings
+        self.coordinator = coordinator
+        self.book = book
+        self.fleet = fleet
+        self.types = types
+        self.estimates = estimates
+        self.suspect_s = max(2.2 * settings.report_s, settings.lease_s * settings.knobs.suspect_after)
+
+    def silent(self, machine: Machine, now: float) -> bool:
+        return now - machine.heard > self.suspect_s
+
+    def _remaining(self, machine: Machine, job: Job, key: Key, kind: MachineType, now: float, clock: float,
+                   claim: Claim) -> float:
+        if job.spec.kind == "service":
+            return math.inf
+        estimate = self.estimates.corrected(job.spec)
+        since = machine.running_since.get(key)
+        if since is not None:
+            left = estimate - (now - since)
+        elif job.spec.kind == "gang" and job.pending:
+            # it waits for others of its gang: their replacements don't wait for its end
+            left = estimate + self.settings.gang_wait_s
+        else:
+            fetch = 0.0 if job.spec.image in machine.images else kind.fetch_s(job.spec.image_gb)
+            left = estimate + max(0.0, fetch - (clock - claim.at))
+        # an overrunning task is seen at each event anew, and planned around
+        return max(left, 0.1 * estimate, self.settings.report_s)
+
+    def all(self, now: float, clock: float) -> Found:
+        types = self.types()
+        found = {}
+        for grant in self.coordinator.grants():
+            for machine in self.fleet.all():
+                kind = types.get(machine.type)
+                if kind is None or block_of(machine.zone) != grant.block:
+                    continue
+                with self.fleet.lock:
+                    place = self._place(machine, kind, grant, now, clock)
+                if place is not None:
+                    found[machine.name] = (place, machine, grant)
+        return found
+
+    def _place(self, machine: Machine, kind: MachineType, grant: Grant, now: float, clock: float) -> Place | None:
+        held = self.book.on_machine(machine.name)
+        if machine.token != grant.token or machine.draining or machine.releasing or self.silent(machine, now):
+            return None
+        # ends are rounded up to a report's interval: they are known no better, and the timeline has fewer steps
+        step = self.settings.report_s
+        ends: dict[float, Amount] = {}
+        fetching = set()
+        for job, claim in held:
+            need = need_of(job.spec)
+            for index in members(claim.tasks):
+                key = (job.id, index, claim.attempt)
+                task = machine.tasks.get(key)
+                if task is not None and task.state == "ended" and claim.session == machine.session:
+                    machine.uses_image(job.spec.image, job.spec.image_gb, kind.cache_gb)
+                    continue  # its room is free; that its record doesn't say so yet keeps nobody waiting
+                left = self._remaining(machine, job, key, kind, now, clock, claim)
+                if key in machine.stops:
+                    left = machine.stops[key] + self.settings.report_s
+                end = left if left == math.inf else math.ceil(left / step) * step
+                taken = ends.get(end, (0.0, 0.0, 0.0))
+                ends[end] = (taken[0] + need[0], taken[1] + need[1], taken[2] + need[2])
+                if task is None or task.state == "fetching":
+                    fetching.add(job.spec.image)
+                else:
+                    machine.uses_image(job.spec.image, job.spec.image_gb, kind.cache_gb)
+        timeline = Timeline(now, (kind.cpus, kind.gpus, kind.memory_gb))
+        for end, taken in ends.items():
+            timeline.take(now, now + end, taken)
+        place = Place(machine.name, kind, machine.zone, machine.spot, timeline, set(machine.images),
+                      len(fetching))
+        if machine.notice_at is not None:
+            place.until = machine.notice_at
+        return place
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -16,7 +16,6 @@
 from tidebend.bookkeeping.jobs import Job
 from tidebend.bookkeeping.machines import Fleet, Machine
 from tidebend.bookkeeping.tasksets import members
-from tidebend.bookkeeping.teams import Usage
 from tidebend.coordination import Coordinator, PeerLink, block_of
 from tidebend.protocol import Invalid, ListedMachine, MachineType
 from tidebend.provisioning import Capacity, Offer, to_rent
@@ -25,6 +24,7 @@
 from tidebend.service.planner import Planner
 from tidebend.settings import Settings
 from tidebend.storage import Unavailable, Unknown
+from tidebend.tenancy import Usage
 from tidebend.transport import Budget, HttpClient, NoAnswer, Unreachable
 
 log = logging.getLogger("rentals")
@@ -152,11 +152,12 @@
                     if block_of(claim.zone) == block and claim.machine not in known:
                         unseen[claim.machine] = grant.since
             silent = {m.name: since for m in own
-                      if now - (since := self._silent_since(m, grant.since)) > self.planner.suspect_s}
+                      if now - (since := self._silent_since(m, grant.since)) > self.planner.places.suspect_s}
             # asked directly before they are given up: a worker may be on its way to us from a dead controller
             self.planner.send({m.name for m in own
-                               if now - max(m.heard, m.answered) > 0.6 * self.planner.suspect_s})
-            silent.update({name: since for name, since in unseen.items() if now - since > self.planner.suspect_s})
+                               if now - max(m.heard, m.answered) > 0.6 * self.planner.places.suspect_s})
+            silent.update({name: since for name, since in unseen.items()
+                           if now - since > self.planner.places.suspect_s})
             total = len(own) + len(unseen)
             if silent and len(silent) == total and self.settings.peers:
                 self.coordinator.unheard(block, total, 2.0 * self.settings.lease_s)
@@ -397,8 +398,8 @@
             if name not in heard:
                 ready = max(1.0, kind.boot_s - (now - known.since))
             capacities.append(Capacity(kind, known.zone, known.spot, tuple(free), ready, returns))
-        wants = [want for want in (self.planner.want(job, now, clock) for job in self.book.live()) if want]
-        wants += self.planner.soon(now, clock)
+        wants = [want for want in (self.planner.waiting.want(job, now, clock) for job in self.book.live()) if want]
+        wants += self.planner.waiting.soon(now, clock)
         offers = [Offer(kind, zone, spot) for kind in self.types.values() for zone in kind.zones if zone not in cut
                   for spot in (True, False) if self._shortage.get(Offer(kind, zone, spot), 0.0) < now]
         rank: dict[str, int] = {}
--- /dev/null
+++ b/tidebend/service/shares.py
@@ -0,0 +1,106 @@
+"""Shares of teams' limits as transactions carry them: raised by claims, lowered by holders, written anew in doubt."""
+
+from __future__ import annotations
+
+import contextlib
+import logging
+from collections.abc import Callable
+
+from tidebend.bookkeeping.book import JobBook
+from tidebend.coordination.formats import FORMAT, Formats
+from tidebend.protocol import Write
+from tidebend.settings import Settings
+from tidebend.storage import Conflict, Mirror, Unavailable
+from tidebend.tenancy import QUOTA, SPENT, TEAM, Amounts, Shares, lowered, raised
+
+log = logging.getLogger("ledger")
+
+
+class ShareMoves:
+    def __init__(self, settings: Settings, mirror: Mirror, book: JobBook, formats: Formats,
+                 held: Callable[[], dict[str, tuple[str, int]]]) -> None:
+        self.settings = settings
+        self.mirror = mirror
+        self.book = book
+        self.formats = formats
+        self.held = held  # the zones whose blocks are ours, with the conditions that they still are
+        self._doubtful: dict[str, object] = {}  # teams with claims that may be executed yet -> the last of them
+
+    def for_claim(self, team: str, shares: Shares, batch: dict[tuple[str, str], Amounts], written: Write | None,
+                  added: dict[str, Amounts],
+                  held: dict[str, tuple[str, int]]) -> tuple[dict[str, int], list[Write]] | None:
+        """The conditions and writes under which a team may claim more; None if it may not.
+
+        `batch`: what the transaction already claims more than it ends, by team and zone; `written`: what it already
+        writes of these shares.
+        """
+        limit = self.settings.teams.get(team)
+        grown = [zone for zone, (cpus, gpus) in added.items() if cpus > 0 or gpus > 0]
+        if not grown or limit is None:
+            return {}, []
+        checks = {QUOTA + team: shares.version}
+        zones = {zone: tuple(row) for zone, row in written[1].items()} if written else dict(shares.zones)
+        needs = {}
+        for zone in {*grown, *held}:
+            used = self.book.used(team, (zone,))
+            for cpus, gpus in (batch.get((team, zone), (0.0, 0.0)), added.get(zone, (0.0, 0.0))):
+                used = (used[0] + cpus, used[1] + gpus)
+            needs[zone] = used
+        enough = raised(zones, needs, grown, limit, len(self.settings.zones))
+        if enough is None:
+            return None
+        if enough is zones:
+            return checks, []
+        checks.update(dict(held.values()))
+        return checks, [(QUOTA + team, Shares(0, enough).pack(), None)]
+
+    def in_doubt(self, teams: set[str]) -> None:
+        """Claims of these teams got no answer: they may be executed yet."""
+        self._doubtful.update((team, object()) for team in teams)
+
+    def settle_doubts(self, patience: float) -> None:
+        """A claim without an answer may be executed late, and only its team's shares bound what it takes.
+
+        Writing them anew ends that: it was conditional on the shares as they were. What happened before is read.
+        """
+        if not self._doubtful:
+            return
+        doubts = dict(self._doubtful)
+        for team in sorted(doubts):
+            shares = self.book.team(team).shares
+            if shares:
+                with contextlib.suppress(Conflict):  # they have been written since: just as well
+                    self.mirror.write({QUOTA + team: shares.version}, [(QUOTA + team, shares.pack(), None)],
+                                      patience=patience)
+        if not self.mirror.barrier(self.mirror.state.timeout, "claim"):
+            raise Unavailable("no read after a claim without an answer")
+        for team, claim in doubts.items():
+            if self._doubtful.get(team) is claim:  # else there has been another meanwhile
+                del self._doubtful[team]
+
+    def share_out(self) -> None:
+        """Give limited teams shares instead of a common record, from what they use: once, when all can read them."""
+        if not self.formats.pipelines:
+            return
+        for team in self.settings.teams.values():
+            if (team.cpus_max is None and team.gpus_max is None) or self.book.has_shares(team.name):
+                continue
+            with self.book.lock:
+                usage = self.book.team(team.name)
+                used = {zone: self.book.used(team.name, (zone,)) for zone in self.settings.zones}
+            self.mirror.write(
+                {TEAM + team.name: usage.version, QUOTA + team.name: 0, FORMAT: self.mirror.get(FORMAT)[1]},
+                [(TEAM + team.name, SPENT, None), (QUOTA + team.name, Shares(0, used).pack(), None)])
+            log.info("team %s has shares of its limit in each zone from now on", team.name)
+
+    def give_back(self, team: str) -> bool:
+        """Lower a team's shares in our zones to what is used there; True if that gave others more room."""
+        held = self.held()
+        shares = self.book.team(team).shares
+        if shares is None or team in self._doubtful:
+            return False
+        lower = lowered(shares, {zone: self.book.used(team, (zone,)) for zone in held})
+        if lower is None:
+            return False
+        self.mirror.write({QUOTA + team: shares.version, **dict(held.values())}, [(QUOTA + team, lower.pack(), None)])
+        return True
--- /dev/null
+++ b/tidebend/service/sizes.py
@@ -0,0 +1,66 @@
+"""How large records and transactions may be."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import replace
+from typing import Any
+
+from tidebend.bookkeeping.jobs import Job
+from tidebend.bookkeeping.parts import Parts, part_size
+from tidebend.coordination.formats import Formats
+from tidebend.settings import Limits
+
+# a transaction's bytes stay this far below the protocol's 64 KiB: keys, conditions and punctuation come on top
+MOST_BYTES = 48 * 1024
+# claims leave the rest of a record to what the numbers of done tasks may need while the claims end one by one
+CLAIMS_SHARE = 0.75
+
+
+def packed_bytes(value: Any) -> int:
+    return len(json.dumps(value, separators=(",", ":")))
+
+
+class Sizes:
+    def __init__(self, limits: Limits, formats: Formats, writes_per_s: float) -> None:
+        self.formats = formats
+        self.keep_within(limits, writes_per_s)
+
+    def keep_within(self, limits: Limits, writes_per_s: float) -> None:
+        """`writes_per_s`: our share of the service's changes."""
+        self.value_bytes = limits.value_bytes
+        # The end of a job alone may need four (its record, its last part's, its final one, its team's), without parts
+        # three; a transaction must fit our budget.
+        self.most_writes = max(min(4, limits.txn_ops), min(limits.txn_ops, int(0.5 * writes_per_s)))
+        self.most_checks = 4 * limits.txn_ops
+
+    def can_be_split(self, job: Job) -> bool:
+        """Whether a record may become a head with parts; a gang, which starts whole, only if it must."""
+        return self.formats.pipelines and job.parts is None and job.spec.tasks > (
+            part_size(self.value_bytes) if job.spec.kind == "gang" else 1)
+
+    def fits(self, job: Job, before: Job | None = None) -> bool:
+        """Whether records with these claims leave room for what is still to come; `before`: what it was made from."""
+        if job.parts and before is not None:
+            sizes = [packed_bytes(job.part_of(number, before).pack(number * job.parts.size))
+                     for number in job.touched(before)]
+            return max(sizes, default=0) <= CLAIMS_SHARE * self.value_bytes
+        return self.can_be_split(job) or packed_bytes(job.pack()) <= CLAIMS_SHARE * self.value_bytes
+
+    def new_job(self, job: Job) -> Job:
+        """A job in the shape in which it will be kept."""
+        size = part_size(self.value_bytes)
+        return replace(job, parts=Parts(size)) if self.formats.pipelines and job.spec.tasks > size else job
+
+    def never_fits(self, job: Job) -> str | None:
+        """Why a job can't be kept or started with records as large as they may be, if it can't."""
+        if packed_bytes(job.pack()) > 0.5 * self.value_bytes:
+            return "its description is too long for a record"
+        if job.parts:
+            parts = -(-job.spec.tasks // job.parts.size)
+            # a gang's start writes all its parts, the head and the team's record; a service's compares all parts
+            if job.spec.kind == "gang" and parts > self.most_writes - 2:
+                return "more tasks than can be started at once"
+            if job.spec.kind == "service" and parts > self.most_checks - 4:
+                return "more replicas than can be kept"
+        return None
--- a/tidebend/service/users.py
+++ b/tidebend/service/users.py
@@ -13,7 +13,8 @@
 from tidebend.bookkeeping.jobs import HEAD, JOB, Job
 from tidebend.coordination.formats import FORMAT, Formats
 from tidebend.protocol import Invalid, JobSpec, MachineType
-from tidebend.service.ledger import Ledger, packed_bytes
+from tidebend.service.ledger import Ledger
+from tidebend.service.sizes import packed_bytes
 from tidebend.settings import Settings
 from tidebend.storage import FINAL, Conflict, Mirror, NoSuchLease, StateClient, Unavailable, Unknown
 from tidebend.transport import BadRequest, Reply
@@ -121,10 +122,10 @@
             if awaits and not self.formats.pipelines:
                 # a process of the version before would start it at once
                 return unsure("not all controllers know pipelines yet")
-            job = self.ledger.new_job(Job(name, 0, spec, came, awaits=awaits))
-            if awaits and packed_bytes(awaits) > AWAITS_SHARE * self.ledger.value_bytes:
+            job = self.ledger.sizes.new_job(Job(name, 0, spec, came, awaits=awaits))
+            if awaits and packed_bytes(awaits) > AWAITS_SHARE * self.ledger.sizes.value_bytes:
                 return self.find(name) or Reply(400, {"error": "awaits names more jobs than a record holds"})
-            never = (self._undecidable(spec) or (self.formats.pipelines and self.ledger.never_fits(job))
+            never = (self._undecidable(spec) or (self.formats.pipelines and self.ledger.sizes.never_fits(job))
                      or self._never_accepted(awaits))
             if never:
                 return self.find(name) or Reply(422, {"error": never})
@@ -134,12 +135,11 @@
             if job.key != JOB + name:
                 conditions[FORMAT] = self.mirror.get(FORMAT)[1]
             try:
-                revision = self.state.transact(conditions, [(job.key, value, None)], "submit", patience=0.3)
+                self.mirror.write(conditions, [(job.key, value, None)], "submit", patience=0.3)
             except Conflict:
                 return self.find(name) or unsure("try again")
             except Unknown:
                 return self.find(name) or unsure("the state service didn't answer")
-            self.mirror.apply([(job.key, value, revision)])
         except Invalid as error:
             return Reply(400, {"error": str(error)})
         except (Unavailable, Unknown, NoSuchLease) as error:
--- /dev/null
+++ b/tidebend/service/waiting.py
@@ -0,0 +1,137 @@
+"""Waiting work: what it is worth, how much of it may start, and what pipelines ask of it."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+
+from tidebend.bookkeeping.book import JobBook
+from tidebend.bookkeeping.jobs import Job
+from tidebend.bookkeeping.machines import Fleet
+from tidebend.bookkeeping.tasksets import members
+from tidebend.coordination import Coordinator
+from tidebend.protocol import JobSpec, MachineType
+from tidebend.scheduling import Demand, Want, demands, is_reserved, largest_share, own_demand, value_of
+from tidebend.service.ends import Ends
+from tidebend.service.estimates import Estimates
+from tidebend.settings import Settings
+from tidebend.tenancy import Usage
+
+
+class Waiting:
+    def __init__(self, settings: Settings, coordinator: Coordinator, book: JobBook, fleet: Fleet,
+                 types: Callable[[], dict[str, MachineType]], estimates: Estimates, ends: Ends) -> None:
+        self.settings = settings
+        self.coordinator = coordinator
+        self.book = book
+        self.fleet = fleet
+        self.types = types
+        self.estimates = estimates
+        self.ends = ends
+        # a service without an estimate counts as long as a worker's lease when values are compared
+        self.nominal_s = settings.lease_s
+        self._demands: dict[str, Demand] = {}  # of jobs that others need, and of those
+
+    def _own_demand(self, job: Job, estimate: float) -> Demand:
+        return own_demand(job.spec, job.submitted, estimate, self.settings.late_aims.get(job.spec.job_class, 1.0))
+
+    def _step_s(self, spec: JobSpec, estimate: float) -> float:
+        """How long a step of a pipeline takes once it is ready: its start is reported and so is its end, and its
+        image may have to be fetched."""
+        fetch = min((kind.fetch_s(spec.image_gb) for kind in self.types().values() if kind.fits(spec)), default=0.0)
+        return estimate + fetch + self.settings.report_s
+
+    def weigh(self) -> None:
+        """What the jobs of pipelines are asked for by those that need them, however late these came."""
+        after = self.book.waiters()
+        own: dict[str, Demand] = {}
+        length: dict[str, float] = {}
+        for name in {*after, *(waiter for waiters in after.values() for waiter in waiters)}:
+            job = self.book.get(name)
+            if job is not None and not job.cancelled:
+                estimate = self.estimates.corrected(job.spec)
+                own[name] = self._own_demand(job, estimate)
+                length[name] = self._step_s(job.spec, estimate)
+        self._demands = demands(own, length, after)
+
+    def soon(self, now: float, clock: float) -> list[Want]:
+        """Work that waits for others whose last tasks are running, with the time at which it will be ready."""
+        wants = []
+        after = self.book.waiters()
+        for name in {waiter for waiters in after.values() for waiter in waiters}:
+            job = self.book.get(name)
+            if job is None or not job.held or job.cancelled:
+                continue
+            left = 0.0
+            for other in job.awaits:
+                if other not in after or self.book.final(other) is not None:
+                    continue
+                before = self.book.get(other)
+                if before is None or before.pending or not before.claims or before.spec.kind == "service":
+                    break
+                estimate = self.estimates.corrected(before.spec)
+                left = max([left, *(estimate - (clock - claim.at) for claim in before.claims)])
+            else:
+                want = self.want(replace(job, held=False, ready=clock + left), now, clock)
+                if want is not None:
+                    want.not_before = max(want.not_before, clock + left)
+                    wants.append(want)
+        return wants
+
+    def want(self, job: Job, now: float, clock: float, zones: Iterable[str] | None = None) -> Want | None:
+        """As far as the team's limit allows in these zones, which are ours; None: in all zones together."""
+        pending = job.pending
+        if not pending:
+            return None
+        if job.spec.kind == "gang" and job.claims and not self.still_gathers(job, clock):
+            return None  # the attempt before it must be over: a gang starts whole
+        spec = job.spec
+        service = spec.kind == "service"
+        estimate = self.nominal_s if service else max(self.estimates.corrected(spec), 0.1)
+        used = self.book.used(spec.team)
+        usage = Usage(*used) if zones is None else self.book.team(spec.team, zones)
+        team = self.settings.teams.get(spec.team)
+        headroom = pending.bit_count()
+        within = False
+        end = self.ends.proven.get(job.id)
+        if end is not None:
+            usage = usage.freed(spec, job.running - job.without(end.ended, 0).running)
+        if team is not None:
+            if team.cpus_max is not None and spec.cpus > 0:
+                headroom = min(headroom, int((team.cpus_max - usage.cpus + 1e-6) // spec.cpus))
+            if team.gpus_max is not None and spec.gpus > 0:
+                headroom = min(headroom, int((team.gpus_max - usage.gpus + 1e-6) // spec.gpus))
+            within = used[0] + spec.cpus <= team.cpus + 1e-6 and (
+                spec.gpus <= 0 or used[1] + spec.gpus <= team.gpus + 1e-6)
+        # the steady clock and the time of day meet here: values are of the time of day
+        demand = self._demands.get(job.id) or self._own_demand(job, estimate)
+        value = value_of(demand, job.since, estimate, within)
+        setback = self.ends.setbacks.get(job.id)
+        return Want(job.id, spec, value, estimate, pending.bit_count(), job.per_zone(), headroom,
+                    not service and is_reserved(value, clock),
+                    clock + max(0.0, setback.not_before - now) if setback else 0.0,
+                    largest_share(spec, list(self.types().values())),
+                    job.since + self.settings.start_aims.get(spec.job_class, math.inf),
+                    spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()))
+
+    def still_gathers(self, job: Job, clock: float) -> bool:
+        """Whether a gang's attempt hasn't begun to run, so that replacements for lost tasks complete it.
+
+        All its machines must be ours to know that, and a replacement must have its image while the others wait.
+        """
+        fetch = max((kind.fetch_s(job.spec.image_gb) for kind in self.types().values() if kind.fits(job.spec)),
+                    default=0.0)
+        held = self.coordinator.held_zones()
+        for claim in job.claims:
+            if claim.zone not in held or claim.attempt != job.claims[0].attempt:
+                return False
+            with self.fleet.lock:
+                machine = self.fleet.machines.get(claim.machine)
+                if machine is None or machine.session != claim.session:
+                    return False
+                for index in members(claim.tasks):
+                    task = machine.tasks.get((job.id, index, claim.attempt))
+                    if task is not None and task.state not in ("fetching", "waiting"):
+                        return False
+        return clock + fetch - min(claim.at for claim in job.claims) < self.settings.gang_wait_s
--- /dev/null
+++ b/tidebend/storage/mirror.py
@@ -0,0 +1,176 @@
+"""A cache of the live keys that knows how old it is."""
+
+from __future__ import annotations
+
+import logging
+import random
+import threading
+import time
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+from tidebend.protocol import Write
+from tidebend.storage.client import FLOORS, StateClient
+from tidebend.storage.failures import Unavailable, Unknown
+from tidebend.storage.keys import FINAL, LIVE, PREFIX
+
+log = logging.getLogger("storage")
+
+
+class Mirror:
+    """A cache of every key under LIVE, fed by a watch and by reads on demand; finals are only passed on.
+
+    `on_change(key, value, version)` is called under `lock`, for each newer version once.
+    """
+
+    KEEP_TOMBSTONES = 2000
+
+    def __init__(self, state: StateClient, on_change: Callable[[str, Any, int], None],
+                 lock: threading.RLock, watch_s: float) -> None:
+        self.state = state
+        self.lock = lock
+        self.loaded = threading.Event()
+        self._on_change = on_change
+        self._watch_s = watch_s
+        self._items: dict[str, tuple[Any, int]] = {}
+        self._gone: OrderedDict[str, int] = OrderedDict()
+        self._revision = 0
+        self._read = threading.Condition()
+        self._wanted = self._begun = self._succeeded = self._failed = 0
+        self._kind = "poll"  # the best of the kinds that wait for the next read
+
+    def start(self) -> None:
+        threading.Thread(target=self._watch, name="watch", daemon=True).start()
+        threading.Thread(target=self._reader, name="barrier", daemon=True).start()
+
+    def get(self, key: str) -> tuple[Any, int]:
+        with self.lock:
+            return self._items.get(key, (None, 0))
+
+    def under(self, prefix: str) -> dict[str, tuple[Any, int]]:
+        with self.lock:
+            return {key: item for key, item in self._items.items() if key.startswith(prefix)}
+
+    def apply(self, rows: list[tuple[str, Any, int]]) -> None:
+        """Take over changes; older ones than those known are dropped, in whatever order they come."""
+        with self.lock:
+            for key, value, version in rows:
+                if key.startswith(FINAL):
+                    self._on_change(key, value, version)
+                    continue
+                if version <= self._items.get(key, (None, 0))[1] or version <= self._gone.get(key, 0):
+                    continue
+                if value is None:
+                    self._items.pop(key, None)
+                    # guards against an answer that was under way while the key was deleted
+                    self._gone[key] = version
+                    self._gone.move_to_end(key)
+                    while len(self._gone) > self.KEEP_TOMBSTONES:
+                        self._gone.popitem(last=False)
+                else:
+                    self._gone.pop(key, None)
+                    self._items[key] = (value, version)
+                self._on_change(key, value, version)
+
+    def write(self, conditions: dict[str, int], writes: list[Write], kind: str = "claim",
+              patience: float = 0.5) -> int:
+        """Change the records, then the cache by the same changes; raises as `StateClient.transact` does."""
+        revision = self.state.transact(conditions, writes, kind, patience)
+        self.apply([(key, value, revision) for key, value, _ in writes])
+        return revision
+
+    def _load(self) -> None:
+        """Read everything, as of one revision.
+
+        Pages are read one after the other, and the store moves on between them: what has changed since the first is
+        read as well before any of it is taken over, so that a team's record is never seen without its jobs'.
+        """
+        rows: dict[str, tuple[Any, int]] = {}
+        after: str | None = None
+        revision: int | None = None
+        paged = False
+        while True:
+            page, more, newest = self.state.items(LIVE, after)
+            revision = newest if revision is None else revision
+            rows.update((key, (value, version)) for key, value, version in page)
+            if not more or not page:
+                break
+            after = page[-1][0]
+            paged = True
+        finals = []
+        if paged:
+            result = self.state.changes(PREFIX, revision, 0.0, "claim")
+            if result is None:
+                raise Unavailable("the store moves on faster than it can be read")
+            moved, revision = result
+            for key, value, version in moved:
+                if key.startswith(FINAL):
+                    finals.append((key, value, version))
+                elif value is None:
+                    rows.pop(key, None)
+                else:
+                    rows[key] = (value, version)
+        with self.lock:
+            gone = [(key, None, revision) for key, (_, version) in self._items.items()
+                    if key not in rows and version < revision]
+            self.apply([(key, value, version) for key, (value, version) in rows.items()] + gone + finals)
+            self._revision = max(self._revision, revision)
+        self.loaded.set()
+
+    def catch_up(self, wait_s: float, kind: str) -> None:
+        with self.lock:
+            revision = self._revision
+        result = self.state.changes(PREFIX, revision, wait_s, kind) if self.loaded.is_set() else None
+        if result is None:
+            self._load()
+            return
+        rows, newest = result
+        with self.lock:
+            self.apply(rows)
+            self._revision = max(self._revision, newest)
+
+    def _watch(self) -> None:
+        while True:
+            try:
+                self.catch_up(self._watch_s, "claim")
+                time.sleep(self.state.watch_pause_s)
+            except (Unavailable, Unknown) as error:
+                log.info("watch: %s", error)
+                time.sleep(random.uniform(0.05, 0.15) * self._watch_s)
+
+    def _reader(self) -> None:
+        while True:
+            with self._read:
+                while self._wanted <= self._begun:
+                    self._read.wait()
+                self._begun += 1
+                number = self._begun
+                kind, self._kind = self._kind, "poll"
+            try:
+                self.catch_up(0.0, kind)
+                fine = True
+            except (Unavailable, Unknown) as error:
+                log.debug("barrier: %s", error)
+                fine = False
+            with self._read:
+                if fine:
+                    self._succeeded = number
+                else:
+                    self._failed = number
+                self._read.notify_all()
+
+    def barrier(self, timeout: float, kind: str = "poll") -> bool:
+        """Bring the cache up to a read begun after this call; reads are shared by those who wait."""
+        deadline = time.monotonic() + timeout
+        with self._read:
+            number = self._begun + 1
+            self._wanted = max(self._wanted, number)
+            if FLOORS[kind] < FLOORS[self._kind]:
+                self._kind = kind
+            self._read.notify_all()
+            while self._succeeded < number and self._failed < number:
+                left = deadline - time.monotonic()
+                if left <= 0 or not self._read.wait(left):
+                    break
+            return self._succeeded >= number
--- a/tidebend/bookkeeping/teams.py
+++ b/tidebend/tenancy/usage.py
@@ -1,40 +1,12 @@
-"""Teams' records and what they use."""
+"""What a team uses, as its records say."""
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass, replace
 
 from tidebend.protocol import JobSpec
-from tidebend.storage import LIVE
-
-# what the version before pipelines keeps of a team; once the team has shares, a value that leaves no room
-TEAM = LIVE + "team/"
-SPENT = [1e15, 1e15]
-# a team's limit shared out among zones
-QUOTA = LIVE + "quota/"
-
-Amounts = tuple[float, float]  # CPUs, GPUs
-
-
-@dataclass(frozen=True, slots=True)
-class Shares:
-    """How much of its limit a team may use in each zone.
-
-    Only a zone's holder adds claims there, and it knows all that there are: so it compares this record and need not
-    write it, and claims in one zone don't collide with those in another. The shares never exceed the limit together.
-    A share is raised from what is free, in the transaction that needs it, and lowered by the zone's holder alone.
-    """
-
-    version: int
-    zones: dict[str, Amounts]
-
-    def total(self, but: Iterable[str] = ()) -> Amounts:
-        rows = [row for zone, row in self.zones.items() if zone not in but]
-        return sum(row[0] for row in rows), sum(row[1] for row in rows)
-
-    def pack(self) -> dict[str, list[float]]:
-        return {zone: [amount(row[0]), amount(row[1])] for zone, row in self.zones.items()}
+from tidebend.tenancy.records import Amounts, amount
+from tidebend.tenancy.shares import Shares
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,7 +41,3 @@
 
     def pack(self) -> list[float]:
         return list(self.charged)
-
-
-def amount(value: float) -> float:
-    return max(0.0, round(value, 6))
