--- a/lab/checker.py
+++ b/lab/checker.py
@@ -12,6 +12,8 @@
     limits = {team["name"]: (team.get("cpus_max") or 1e18, team.get("gpus_max") or 1e18) for team in teams}
     late = set()
     orphans = set()
+    by_job = {}  # job -> zone -> its tasks' places there
+    overdue = []  # (when, job): cancelled jobs whose tasks must be gone by then, in order
 
     def before(job):
         """All jobs that a job needs, directly or through others."""
@@ -24,11 +26,11 @@
         return found
 
     def check_late(now):
-        for task, places in on.items():
-            job = task.partition("/")[0]
-            if places and job in cancelled and now > cancelled[job] + cancel_s and job not in late:
+        while overdue and now > overdue[0][0]:
+            _, job = overdue.pop(0)
+            if any(by_job.get(job, {}).values()) and job not in late:
                 late.add(job)
-                found.append(("ran_cancelled", now, f"{task} is still on a machine"))
+                found.append(("ran_cancelled", now, f"tasks of {job} are still on machines"))
 
     for row in log:
         now, what = row[0], row[1]
@@ -41,16 +43,12 @@
                 found.append(("ran_twice", now, f"{task} on {sorted(on[task])} and {machine}"))
             if job in cancelled and now > cancelled[job] + cancel_s:
                 found.append(("ran_cancelled", now, f"{task} starts"))
-            zones = {}
-            for other, places in on.items():
-                if other.partition("/")[0] == job:
-                    for place in places.values():
-                        zones[place] = zones.get(place, 0) + 1
+            zones = by_job.setdefault(job, {})
             zones[zone] = zones.get(zone, 0) + 1
             wrong = ((spec["hulls"] is not None and kind not in spec["hulls"])
                      or (spec["harbor"] is not None and zone != spec["harbor"])
                      or (spot and not spec["driftwood"])
-                     or (spec["samePlace"] and len(zones) > 1)
+                     or (spec["samePlace"] and sum(1 for count in zones.values() if count) > 1)
                      or (spec["spread"] and zones[zone] > (spec["pieces"] + 1) // 2))
             if wrong:
                 found.append(("wrong_place", now, f"{task} on {machine} ({kind}, {zone}, spot {spot})"))
@@ -67,7 +65,9 @@
                 found.append(("quota", now, f"{spec['crew']} uses {used}"))
         elif what == "off":
             _, _, task, _, machine, *_ = row
-            if on.get(task, {}).pop(machine, None) is not None:
+            zone = on.get(task, {}).pop(machine, None)
+            if zone is not None:
+                by_job[task.partition("/")[0]][zone] -= 1
                 spec = jobs[task.partition("/")[0]]
                 usage[spec["crew"]][0] -= spec["vcpus"]
                 usage[spec["crew"]][1] -= spec["accelerators"]
@@ -86,7 +86,9 @@
                 if state == "withdrawn":
                     if not any(("cancel", other) in first_asked for other in {job, *before(job)}):
                         found.append(("went_back", now, f"{job} is cancelled, by nobody"))
-                    cancelled.setdefault(job, now)
+                    if job not in cancelled:
+                        cancelled[job] = now
+                        overdue.append((now + cancel_s, job))
                 if state in ("queued", "running") and job not in orphans and any(
                         now > cancelled.get(other, 1e18) + cancel_s for other in before(job)):
                     orphans.add(job)
--- /dev/null
+++ b/lab/plays.py
@@ -0,0 +1,40 @@
+"""Several plays at a time, each in a process of its own."""
+
+from __future__ import annotations
+
+from concurrent.futures import ProcessPoolExecutor, as_completed
+from multiprocessing import get_context
+
+from rich.console import Console
+from rich.progress import Progress
+
+from lab.experiment import read
+from lab.play import play
+from lab.versions import at
+
+
+class NoVersion(Exception):
+    """A commit isn't in the history at hand."""
+
+
+def one(path: str, changes: dict[str, str], seed: int, source: str | None) -> dict:
+    """One play; `source` None is the code at hand."""
+    version = at(source) if source else None
+    if source and version is None:
+        raise NoVersion(f"no commit {source} in the history at hand")
+    return {"source": source or "at hand", "set": changes, **play(read(path, changes), seed, version)}
+
+
+def play_all(plays: list[tuple[str, dict[str, str], int, str | None]], workers: int, quiet: bool) -> list[dict]:
+    """The reports in the order of `plays`, each (experiment, changes, seed, source)."""
+    console = Console(stderr=True, quiet=quiet)
+    results: dict[int, dict] = {}
+    # spawned, and ended after one: a play patches the clock and replaces modules, and no other may see that
+    with ProcessPoolExecutor(workers, mp_context=get_context("spawn"), max_tasks_per_child=1) as pool, \
+            Progress(console=console) as bar:
+        task = bar.add_task("plays", total=len(plays))
+        numbers = {pool.submit(one, *row): number for number, row in enumerate(plays)}
+        for done in as_completed(numbers):
+            results[numbers[done]] = done.result()
+            bar.advance(task)
+    return [results[number] for number in range(len(plays))]
--- a/lab/versions.py
+++ b/lab/versions.py
@@ -1,4 +1,4 @@
-"""The version in production, from the repository's history, to run beside the one that is to replace it."""
+"""Versions of the package from the repository's history, to run beside each other."""
 
 from __future__ import annotations
 
@@ -42,15 +42,19 @@
                    parts["transport"].Reply)
 
 
-@cache
 def production() -> Version | None:
     """None without the history that it is read from."""
     with open(ROOT / "deploy" / "service.toml", "rb") as source:
-        commit = tomllib.load(source)["production"]
+        return at(tomllib.load(source)["production"])
+
+
+@cache
+def at(commit: str) -> Version | None:
+    """The package as it was at a commit; None where the history at hand doesn't have it."""
     done = subprocess.run(["git", "-C", str(ROOT), "archive", commit, "tidebend"], capture_output=True, check=False)
     if done.returncode:
         return None
-    where = ROOT / "target" / "production" / commit
+    where = ROOT / "target" / "versions" / commit
     with tarfile.open(fileobj=io.BytesIO(done.stdout)) as archive:
         archive.extractall(where, filter="data")
     ours = _loaded()
--- /dev/null
+++ b/lab/workers.py
@@ -0,0 +1,179 @@
+"""Workers, written from PROTOCOL, on a virtual clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass
+class Task:
+    attempt: int
+    state: str
+    since: float
+    image_at: float
+    why: str | None = None
+    saved: bool = False
+    progress: float = 0.0
+    end_at: float = 0.0
+
+
+class Worker:
+    def __init__(self, world, name, kind, zone, spot):
+        self.world, self.name, self.kind, self.zone, self.spot = world, name, kind, zone, spot
+        self.address = (f"10.1.0.{int(name[3:])}", 9000)
+        self.session, self.sequence, self.token = 1, 0, 0
+        self.tasks = {}
+        self.images = set()
+        self.began = world.now
+        self.answered = world.now  # when the last answered report was sent
+        self.node = world.nodes[int(name[3:]) % len(world.nodes)]
+        self.next_report = world.now
+        self.notice = None
+        self.hung_until = -1.0
+        self.sick_until = -1.0
+        self.told = None
+
+    def event(self, what, key, task):
+        self.world.log.append((self.world.now, what, key, task.attempt, self.name, self.zone, self.kind, self.spot))
+
+    def gone(self, key):
+        task = self.tasks[key]
+        if task.state in ("running", "saving", "waiting"):
+            self.event("off", key, task)
+        if task.state in ("running", "saving"):
+            self.count_work(key, task)
+
+    def ran(self, key, task):
+        """Seconds of progress, what was saved before included."""
+        until = task.end_at - self.world.jobs[key.partition("/")[0]]["stowS"] if task.state == "saving" \
+            else self.world.now
+        return task.progress + max(0.0, until - task.since)
+
+    def count_work(self, key, task):
+        """Checkpoints are kept outside the machine; what came after the last is lost unless the task was done."""
+        job = key.partition("/")[0]
+        spec = self.world.jobs[job]
+        if key in self.world.completed or spec["shape"] == "service":
+            return
+        ran = self.ran(key, task)
+        safe = ran if task.state == "saving" and self.world.now >= task.end_at else (
+            ran // spec["markS"] * spec["markS"] if spec["markS"] > 0 else 0.0)
+        progress = self.world.saved[key] = max(safe, self.world.saved.get(key, 0.0))
+        self.world.lost[job] += max(0.0, ran - progress)
+        self.world.stops[job] += 1
+
+    def lose_all(self):
+        for key in self.tasks:
+            self.gone(key)
+        self.tasks = {}
+
+    def finish(self, key, why, saved=False):
+        self.gone(key)
+        task = self.tasks[key]
+        task.state, task.why, task.saved = "ended", why, saved
+
+    def step(self):
+        now = self.world.now
+        if now < self.hung_until:
+            return
+        if now - self.answered > self.world.lease_s:
+            self.lose_all()
+            self.session += 1
+            self.answered = now
+        for key, task in list(self.tasks.items()):
+            spec = self.world.jobs.get(key.partition("/")[0])
+            if task.state == "fetching" and now >= task.image_at:
+                if now < self.sick_until:
+                    task.state, task.why = "ended", "error"
+                    continue
+                self.images.add(spec["cargo"])
+                task.state, task.since = "waiting" if spec["shape"] == "group" else "running", now
+                task.progress = self.world.saved.get(key, 0.0)
+                self.world.starts[key.partition("/")[0]] += 1
+                self.event("on", key, task)
+            elif task.state == "waiting" and self.world.gang_is_whole(key, task.attempt):
+                task.state, task.since = "running", now
+            elif task.state == "running" and spec["shape"] != "service" and self.ran(key, task) >= spec["run_s"]:
+                job = key.partition("/")[0]
+                for index in range(spec["pieces"]) if spec["shape"] == "group" else (key.partition("/")[2],):
+                    self.world.complete(job, index)  # a gang completes together
+                self.finish(key, "done")
+            elif task.state == "saving" and now >= task.end_at:
+                self.finish(key, "stopped", True)
+        state = {key: (task.attempt, task.state) for key, task in self.tasks.items()}
+        if (state, self.notice, self.token) != self.told:
+            self.next_report = min(self.next_report, max(now, self.answered + 0.5))
+        if now >= self.next_report:
+            self.told = (state, self.notice, self.token)
+            self.report()
+
+    def body(self):
+        self.sequence += 1
+        rows = []
+        for key, task in self.tasks.items():
+            row = {"piece": key, "launch": task.attempt, "tide": task.state}
+            if task.state == "ended":
+                row["cause"] = task.why
+                row["stored"] = task.saved
+            rows.append(row)
+        return {"vessel": self.name, "address": f"{self.address[0]}:{self.address[1]}", "hull": self.kind,
+                "harbor": self.zone, "driftwood": self.spot, "watch": self.session, "tally": self.sequence,
+                "helm": self.token, "warningS": None if self.notice is None else self.notice - self.world.now,
+                "pieces": rows}
+
+    def report(self):
+        now = self.world.now
+        self.next_report = now + self.world.report_s * self.world.random.uniform(0.75, 1.25)
+        answer = self.world.to_controller(self.name, self.node, "POST", "/v1/report", self.body())
+        if answer is None:
+            self.next_report = now + 5.0  # 4 s without a response, then the next node a second later
+            self.node = self.world.next_node(self.node)
+        elif answer[0] == 200:
+            if answer[1].get("helm", -1) >= self.token:
+                self.token = answer[1]["helm"]
+                self.answered = now
+                self.execute(answer[1]["orders"])
+        else:
+            to = answer[1].get("harbormaster") if answer[0] == 421 else None
+            if to in self.world.nodes and to != self.node:
+                self.node, self.next_report = to, now + 0.2
+            else:
+                self.node, self.next_report = self.world.next_node(self.node), now + 1.0
+
+    def execute(self, orders):
+        for order in orders:
+            key, attempt = order["piece"], order["launch"]
+            task = self.tasks.get(key)
+            if order["order"] == "start":
+                if task is not None and task.attempt == attempt:
+                    continue
+                spec = self.world.jobs.get(key.partition("/")[0])
+                made = Task(attempt, "fetching", self.world.now, self.world.now)
+                if spec is None:
+                    made.state, made.why = "ended", "no_such"
+                elif task is not None:
+                    continue  # the stand-in has one place for each task; the real answer is in_use
+                elif self.world.room(self, spec) < 1:
+                    made.state, made.why = "ended", "full"
+                elif spec["cargo"] not in self.images:
+                    made.image_at += spec["sizeGb"]
+                self.tasks[key] = made
+            elif task is not None and task.attempt == attempt:
+                if order["order"] == "clear" and task.state == "ended":
+                    del self.tasks[key]
+                elif order["order"] == "kill" and task.state != "ended":
+                    spec = self.world.jobs[key.partition("/")[0]]
+                    if task.state == "running" and spec["markS"] > 0 and order["slackS"] >= spec["stowS"]:
+                        task.state, task.end_at = "saving", self.world.now + spec["stowS"]
+                    else:
+                        self.finish(key, "stopped")
+
+    def direct(self, method, path, body):
+        if self.world.now < self.hung_until:
+            return None
+        if path == "/orders":
+            if body["helm"] < self.token or body["watch"] != self.session:
+                return 409, self.body()
+            self.token = body["helm"]
+            self.execute(body["orders"])
+        return 200, self.body()
--- /dev/null
+++ b/lab/world.py
@@ -0,0 +1,276 @@
+"""Real controllers on a virtual clock, with stand-ins for all that is around them.
+
+One thread steps everything in turn, so the same seed gives the same log. The controllers are the real ones, without
+their threads and sockets.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import random
+from collections import Counter
+from unittest import mock
+
+from lab.cloud import Cloud
+from lab.links import Link
+from lab.state import StateService
+from lab.versions import Version, current
+
+NEW = current()
+TICK = 0.1
+STATE = ("state", 1)
+CLOUD = ("cloud", 1)
+
+
+class World:
+    def __init__(self, seed, zones, teams, types, lease_s=10.0, report_s=1.0, cancel_s=35.0, list_lag_s=3.0,
+                 controllers=None, limits=None, cloud_rps=5.0, objectives=None, polls=(2.0, 2.0)):
+        """`controllers`: how many, over the zones in turn (one in each); `limits`: of the state service, enforced;
+        `polls`: seconds between a user's polls for a job before and after its end."""
+        self.random = random.Random(seed)
+        self.now = 100.0
+        self.log = []
+        self.jobs, self.completed = {}, {}
+        self.done_tasks, self.last_done = {}, {}  # job -> how many of its tasks are done, and since when the last
+        self.kinds = {kind["name"]: kind for kind in types}
+        self.zones, self.types, self.teams = zones, types, teams
+        self.lease_s, self.report_s, self.cancel_s, self.list_lag_s = lease_s, report_s, cancel_s, list_lag_s
+        self.state, self.cloud = StateService(self), Cloud(self)
+        self.workers = {}
+        self.nodes = [f"n{number}" for number in range(controllers or len(zones))]
+        self.limits = {"rps": 60.0, "write_rps": 15.0, "value_kb": 8.0, "txn_ops": 12, **(limits or {})}
+        if limits:
+            self.state.limits.update({key: self.limits[key] for key in self.state.limits})
+        self.cloud_rps, self.poll_s = cloud_rps, polls
+        self.objectives = objectives or [{"kind": "deadline", "class": "c", "share": 0.9, "times": times}
+                                         for times in (1.5, 1.0)]
+        self.frozen = {}  # controller -> until
+        self.saved = {}  # task, or gang -> seconds of progress that are safe
+        self.lost = Counter()  # job -> seconds of work that were lost
+        self.starts, self.stops = Counter(), Counter()  # job -> starts executed, tasks that left without being done
+        self.controllers = {}
+        self.versions: dict[str, Version] = dict.fromkeys(self.nodes, NEW)
+        self.next_limits = {}
+        self.back_at = dict.fromkeys(self.nodes, 0.0)
+        self.cuts = []
+        self.pending = []  # requests of users that are repeated: (when, action, job)
+        self.polls = {}
+        self.answers = {}
+        self.ticks = 0
+        self.steady = self.now
+
+    def zone_of(self, node):
+        return self.zones[self.nodes.index(node) % len(self.zones)]
+
+    def settings(self, node):
+        zone = self.zone_of(node)
+        version = self.versions[node]
+        return version.settings({
+            "member": node, "site": zone, "serve_on": "0.0.0.0:1", "peer_bind": "0.0.0.0:2",
+            "peers": [{"member": other, "site": self.zone_of(other), "address": "0.0.0.0:3"}
+                      for other in self.nodes if other != node],
+            "outside": {"cloud": "cloud:1", "state": "state:1"},
+            "deployment": {"size": len(self.nodes), "zones": self.zones, "clock_off_ms": 0.0, "teams": self.teams,
+                           "workers": {"report_s": self.report_s, "lease_s": self.lease_s, "gang_wait_s": 30.0,
+                                       "gang_peer_s": 5.0, "cancel_s": self.cancel_s},
+                           "state": {**self.limits, "next": self.next_limits},
+                           "objectives": self.objectives,
+                           "cloud": {"rps": self.cloud_rps, "list_lag_s": self.list_lag_s},
+                           "resources": {"max_sockets": 600}},
+        }, version.knobs())
+
+    # Traffic
+
+    def cut_between(self, node, side, zone=None):
+        return next((cut for cut in self.cuts if cut.node == node and self.now < cut.until
+                     and cut.side in ("all", side, zone)), None)
+
+    def from_controller(self, node, version, address, method, path, body):
+        if address == STATE:
+            side, zone, target = "state", None, lambda: self.state.call(node, method, path, body)
+        elif address == CLOUD:
+            side, zone, target = "cloud", None, lambda: self.cloud.call(node, method, path, body)
+        else:
+            worker = self.workers.get(f"vm-{int(address[0].rpartition('.')[2]):06d}")
+            if worker is None:
+                raise version.unreachable("no such host")
+            side, zone, target = "workers", worker.zone, lambda: worker.direct(method, path, body)
+        cut = self.cut_between(node, side, zone)
+        if cut is not None:
+            if cut.hold and method == "POST":
+                cut.held.append(target)  # executed when the cut is over, though nobody waits any more
+                raise version.no_answer("cut")
+            raise version.unreachable("cut")
+        answer = target()
+        if answer is None:
+            raise version.no_answer("hangs")
+        return answer[0], json.loads(json.dumps(answer[1]))
+
+    def to_controller(self, machine, node, method, path, body):
+        """None: no answer."""
+        controller = self.controllers.get(node)
+        zone = self.workers[machine].zone if machine in self.workers else None
+        if (controller is None or self.now < self.frozen.get(node, -1.0)
+                or self.cut_between(node, "workers" if machine else "users", zone)):
+            return None
+        raw = json.dumps(body).encode()
+        try:
+            reply = controller.route(method, path, lambda: raw)
+        except self.versions[node].reply as thrown:
+            reply = thrown
+        return reply.status, json.loads(json.dumps(reply.body))
+
+    def complete(self, job, index):
+        if self.completed.setdefault(f"{job}/{index}", self.now) == self.now:
+            self.done_tasks[job] = sum(1 for n in range(self.jobs[job]["pieces"]) if f"{job}/{n}" in self.completed)
+            self.last_done[job] = self.now
+
+    def next_node(self, node):
+        return self.nodes[(self.nodes.index(node) + 1) % len(self.nodes)]
+
+    def gang_is_whole(self, key, attempt):
+        job = key.partition("/")[0]
+        if self.jobs[job]["pieces"] == 1:
+            return True
+        there = {other for worker in self.workers.values() for other, task in worker.tasks.items()
+                 if other.partition("/")[0] == job and task.attempt == attempt and task.state in ("waiting", "running")}
+        return len(there) == self.jobs[job]["pieces"]
+
+    def room(self, worker, spec):
+        kind = self.kinds[worker.kind]
+        free = {part: kind[part] for part in ("vcpus", "accelerators", "memoryGb")}
+        for key, task in worker.tasks.items():
+            if task.state != "ended":
+                other = self.jobs[key.partition("/")[0]]
+                for part in free:
+                    free[part] -= other[part]
+        return min((free[part] + 1e-9) // spec[part] if spec[part] > 0 else 1e9 for part in free)
+
+    # Users
+
+    def user(self, action, name, node=None, body=None):
+        node = node or self.random.choice(self.nodes)
+        if action == "submit":
+            spec = body or self.jobs[name]
+            answer = self.to_controller(None, node, "POST", "/api/jobs",
+                                        {key: value for key, value in spec.items() if key != "run_s"})
+        elif action == "poll":
+            answer = self.to_controller(None, node, "GET", f"/api/jobs/{name}", None)
+        else:
+            answer = self.to_controller(None, node, "POST", f"/api/jobs/{name}/cancel", {})
+        status = answer[0] if answer else None
+        state = answer[1].get("tide") if answer and isinstance(answer[1], dict) else None
+        self.log.append((self.now, "told", action, name, status, state))
+        self.answers[name] = (status, state)
+        return status, state
+
+    def submit(self, name, **spec):
+        self.jobs[name] = {"id": name, **spec}
+        self.log.append((self.now, "asked", "submit", name, dict(self.jobs[name])))
+        self.pending.append([self.now, "submit", name])
+
+    def cancel(self, name):
+        self.log.append((self.now, "asked", "cancel", name, None))
+        self.pending.append([self.now, "cancel", name])
+
+    def users(self):
+        for row in list(self.pending):
+            if self.now < row[0]:
+                continue
+            status, _ = self.user(row[1], row[2])
+            if status in (200, 201, 400, 404, 422):
+                self.pending.remove(row)
+                if row[1] == "submit" and status in (200, 201):
+                    self.polls[row[2]] = self.now + 0.5 * self.poll_s[0]
+            else:
+                row[0] = self.now + 1.0
+        for name, when in list(self.polls.items()):
+            if self.now >= when:
+                self.polls[name] = self.now + self.poll_s[self.answers[name][1] in ("done", "withdrawn")]
+                self.user("poll", name)
+
+    # Controllers
+
+    def upgrade(self, node, for_s):
+        self.crash(node, for_s)
+        self.versions[node] = NEW
+
+    def crash(self, node, for_s):
+        self.controllers[node] = None
+        self.back_at[node] = self.now + for_s
+
+    def _controller(self, number, node):
+        controller = self.controllers.get(node)
+        if self.now < self.frozen.get(node, -1.0):
+            return
+        if controller is None:
+            if self.now < self.back_at[node]:
+                return
+            version = self.versions[node]
+            controller = self.controllers[node] = version.controller(self.settings(node), Link(self, node, version))
+            self._no_threads(controller, version.quiet)
+        turn = self.ticks + number
+        if turn % 8 == 0:
+            controller.coordinator.keep_lease()
+        quiet = self.versions[node].quiet
+        if turn % 2 == 0:
+            self._quietly(quiet, lambda: controller.mirror.catch_up(0.0, "claim"))
+            controller.coordinator.tend_blocks()
+        if turn % 3 == 0 and controller.mirror.loaded.is_set():
+            self._quietly(quiet, controller.planner.mapping_event)
+        for _ in range(20):
+            if not controller.dispatcher.deliver_next():
+                break
+        if turn % 5 == 0:
+            news = controller.news()
+            for peer, other in self.controllers.items():
+                if other is not None and peer != node and self.now >= self.frozen.get(peer, -1.0) \
+                        and not self.cut_between(node, "peers") and not self.cut_between(peer, "peers"):
+                    other.link.receive(json.loads(json.dumps(news)))
+            self._quietly(quiet, controller.rentals.guard_once)
+        if turn % 10 == 0:
+            self._quietly(quiet, controller.rentals.lead_once)
+
+    @staticmethod
+    def _quietly(quiet, step):
+        with contextlib.suppress(*quiet):
+            step()
+
+    @staticmethod
+    def _no_threads(controller, quiet):
+        mirror = controller.mirror
+
+        def barrier(timeout, kind="poll"):
+            try:
+                mirror.catch_up(0.0, kind)
+                return True
+            except quiet:
+                return False
+
+        mirror.barrier = barrier
+
+    def step(self):
+        self.ticks += 1
+        self.now = round(self.now + TICK, 6)
+        self.steady = max(self.steady, self.now)
+        for cut in [cut for cut in self.cuts if cut.until <= self.now]:
+            self.cuts.remove(cut)
+            for request in cut.held:
+                request()  # delivered late, in order
+        self.state.step()
+        self.cloud.step()
+        for number, node in enumerate(self.nodes):
+            self._controller(number, node)
+        for worker in list(self.workers.values()):
+            if worker.name in self.workers:
+                worker.step()
+        self.users()
+
+    def sleep(self, seconds):
+        self.steady += seconds  # a part waits: only the steady clock moves on; the world catches up with it
+
+    def clock(self):
+        """Patches for the time module while the world runs."""
+        return mock.patch.multiple("time", monotonic=lambda: self.steady, time=lambda: 1e9 + self.now,
+                                   sleep=self.sleep)
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.checker import breaches
+from lab.checker import breaches
 from tests.test_scenarios import JOB
 
 TEAMS = [{"name": "team", "cpus_max": 10.0}]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -7,8 +7,8 @@
 
 import pytest
 
+from lab.world import World
 from tests.test_scenarios import JOB
-from tests.world import World
 from tidebend.bookkeeping.claims import Claim
 from tidebend.bookkeeping.jobs import JOB as JOB_KEY
 from tidebend.bookkeeping.jobs import Job
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -10,9 +10,10 @@
 
 import pytest
 
-from tests.checker import breaches
-from tests.production import production
-from tests.world import Cut, World
+from lab.checker import breaches
+from lab.links import Cut
+from lab.versions import production
+from lab.world import World
 
 SCENARIOS = sorted((Path(__file__).parent / "scenarios").glob("*.txt"))
 JOB = {"tier": "c", "crew": "team", "shape": "sweep", "rank": "standard", "pieces": 1, "vcpus": 4.0,
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.world import World
+from lab.world import World
 from tidebend.cli import main
 from tidebend.settings import Knobs, SettingsError, load_settings, read_settings
 
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from lab.world import World
 from tests.test_scenarios import Scenario
-from tests.world import World
 from tidebend.bookkeeping.book import JobBook, pack_final, unpack_final
 from tidebend.bookkeeping.jobs import HEAD, JOB, Job
 from tidebend.coordination.formats import FORMAT, READS
