Limits strand less: ends go ahead of their team's next claim, and shares return from holders without machines

Cause: a team at its limit waited for the ends of its other jobs to be gathered, up to a fifth of a worker's lease; a holder that can use none of its machines, as of a zone that is cut off, never came to give its shares back; a gang waited beside a free amount that took one of its tasks.

Change: what has ended of a team's other jobs goes into the transaction of its next claim, ahead of it, when its limit has no room otherwise; giving back is a part of its own (service/reclaims.py), ahead of looking for places, and asks for what a gang takes whole. Conditions of two edits that differ on one key no longer share a transaction: the later took the place of the earlier.

--- a/lab/report.py
+++ b/lab/report.py
@@ -130,14 +130,15 @@
             if left + 1e-6 < need[0] and not any(self._spare(team["name"], zone, shares[0]) + left + 1e-6 >= need[0]
                                                  for zone in zones):
                 return "1 shares elsewhere"
-        held = max((book.used(team["name"])[0] for book in self._books()), default=0.0)
-        if held + least * need[0] > limits[0] + 1e-6:
+        if self._recorded(team["name"]) + least * need[0] > limits[0] + 1e-6:
             return "2 ends that aren't recorded"
         return "2 turns and pauses"
 
-    def _books(self) -> list:
-        """The caches of the controllers that run: what they know is what is recorded, or a little older."""
-        return [controller.book for controller in self.world.controllers.values() if controller is not None]
+    def _recorded(self, team: str) -> float:
+        """CPUs that a team's recorded claims take, as the controller with the newest reading knows them."""
+        newest = max((controller for controller in self.world.controllers.values() if controller is not None),
+                     key=lambda controller: controller.mirror._revision, default=None)
+        return newest.book.used(team)[0] if newest is not None else 0.0
 
     def _spare(self, team: str, zone: str, shares: dict) -> float:
         world = self.world
--- /dev/null
+++ b/tests/test_tenancy.py
@@ -0,0 +1,69 @@
+"""Limits between holders: shares that move, ends that make room."""
+
+from tests.test_guards import claim_in, shared, spec, stale_pair, world  # noqa: F401 (a fixture)
+from tidebend.bookkeeping.claims import Claim
+from tidebend.service.ledger import Edit
+
+
+def ending(tasks):
+    return lambda job, _: job.without({("vm-north", 1, 1): tasks}, tasks)
+
+
+def claiming(controller, tasks):
+    limit = controller.settings.teams["team"]
+
+    def edit(job, usage):
+        if not limit.allows(usage.plus(job.spec, tasks.bit_count()).cpus, 0.0):
+            return None
+        return job.with_claims([Claim("vm-north", 1, job.started + 1, tasks, 0.0, "north")])
+    return edit
+
+
+def test_what_has_ended_makes_room_for_a_claim_in_its_own_transaction_and_never_for_one_without_it(world):  # noqa: F811
+    first, _ = shared(world)
+    held = dict([first.coordinator.condition(first.coordinator.grant("north.0"))])
+    assert claim_in(first, "north", "a", 0b11111111) is not None  # all of the limit
+    assert first.ledger.change_all([Edit("b", claiming(first, 0b11), held)]) == {}
+    # the ends' own condition fails: nobody may use what they would have freed
+    lost = Edit("a", ending(0b11), {"tidebend/live/block/north.0": 1})
+    assert first.ledger.change_all([lost, Edit("b", claiming(first, 0b11), held)]) == {}
+    before = world.state.revision
+    made = first.ledger.change_all([Edit("a", ending(0b11), held), Edit("b", claiming(first, 0b11), held)])
+    assert sorted(made) == ["a", "b"] and world.state.revision == before + 1
+    assert first.book.used("team") == (8.0, 0.0)
+
+
+def test_a_holder_without_a_machine_that_it_can_use_gives_shares_back(world):  # noqa: F811
+    """A zone was cut off: whoever took its block hears nobody there, and the team waits elsewhere for the share."""
+    first, second = shared(world)
+    assert claim_in(first, "north", "a", 0b1) is not None  # takes a part of the rest ahead
+    second.mirror.catch_up(0.0, "claim")
+    tasks = 0
+    while claim_in(second, "south", "b", 1 << tasks) is not None:
+        tasks += 1
+    assert tasks < 7
+    for machine in first.fleet.all():
+        machine.heard = -1e9
+    first.mirror.catch_up(0.0, "claim")
+    first.planner.mapping_event()
+    world.steady += 2 * first.planner.ends.claim_pause_s
+    first.planner.mapping_event()
+    second.mirror.catch_up(0.0, "claim")
+    while claim_in(second, "south", "b", 1 << tasks) is not None:
+        tasks += 1
+    assert tasks == 7
+
+
+def test_a_gang_that_needs_more_than_is_free_has_shares_given_back(world):  # noqa: F811
+    first, _ = stale_pair(world, g=spec(shape="group", pieces=6, vcpus=1.0))
+    reclaims, job = first.planner.reclaims, first.book.get("g")
+    shares = first.book.team("team").shares
+    assert shares is not None
+    value = {"north": [1.0, 0.0], "south": [2.0, 0.0]}  # five are free, and the gang takes six
+    world.state.transact({"if": [], "writes": [{"put": "tidebend/live/quota/team", "v": value}]})
+    first.mirror.catch_up(0.0, "claim")
+    assert reclaims._short([job]) == {"team"}
+    value["south"] = [1.0, 0.0]
+    world.state.transact({"if": [], "writes": [{"put": "tidebend/live/quota/team", "v": value}]})
+    first.mirror.catch_up(0.0, "claim")
+    assert reclaims._short([job]) == set()
--- a/tidebend/service/claims.py
+++ b/tidebend/service/claims.py
@@ -42,14 +42,33 @@
             if end is not None:
                 conditions.update(self.ends.conditions(end))
             edits.append(Edit(name, partial(self._claimed, group=group, places=places, at=at, end=end), conditions))
+        edits = self._ends_first(chosen) + edits
         changed = self.ledger.change_all(edits) if edits else {}
         now = time.monotonic()
         for name in changed:
             self.ends.went_with_a_claim(name)
+            if name not in chosen:
+                continue
             if changed[name].running >= sum(placement.tasks for placement in chosen[name]):
                 self.at[name] = now  # else more of its parts follow at once
             log.debug("claimed for %s: %s", name, [(p.machine, p.tasks) for p in chosen[name]])
-        self.send({placement.machine for name in changed for placement in chosen[name]})
+        self.send({placement.machine for name in changed for placement in chosen.get(name, ())})
+
+    def _ends_first(self, chosen: dict[str, list[Placement]]) -> list[Edit]:
+        """What has ended of the other jobs of teams whose limit has no room for their claims until that is recorded.
+
+        Deduct before credit: ends come ahead of the claims, in their transaction or in one before it.
+        """
+        asked: dict[str, Usage] = {}
+        held = self.coordinator.held_zones()
+        for name, group in chosen.items():
+            job = self.ledger.book.get(name)
+            if job is not None:
+                usage = asked.get(job.spec.team) or self.ledger.book.team(job.spec.team, held)
+                asked[job.spec.team] = usage.plus(job.spec, sum(placement.tasks for placement in group))
+        short = [team for team, usage in asked.items()
+                 if team in self.settings.teams and not self.settings.teams[team].allows(usage.cpus, usage.gpus)]
+        return [edit for team in short for edit in self.ends.of_team(team) if edit.job not in chosen]
 
     def _claimed(self, job: Job, usage: Usage, group: list[Placement],
                  places: Found, at: float, end: ProvenEnds | None) -> Job | None:
--- a/tidebend/service/ends.py
+++ b/tidebend/service/ends.py
@@ -18,7 +18,7 @@
 from tidebend.service.ledger import Edit, Ledger
 from tidebend.service.sizes import packed_bytes
 from tidebend.settings import Settings
-from tidebend.tenancy import Usage
+from tidebend.tenancy import Amounts, Usage
 
 log = logging.getLogger("planner")
 
@@ -57,6 +57,7 @@
         self.send = send
         self.setbacks: dict[str, Setback] = {}
         self.proven: dict[str, ProvenEnds] = {}  # and not yet recorded
+        self.freed: dict[str, Amounts] = {}  # team -> what these ends give back of its limit
         self._since: dict[str, float] = {}  # job -> steady time since which ends wait to be recorded
         self.gather_s = settings.knobs.gather * settings.lease_s
         # an array whose tasks follow one another as room comes up claims no more often than this: each time costs
@@ -79,9 +80,29 @@
         self.send(unwanted)
         self._resolve_doubts()
         self.proven = ends
+        self.freed = self._freed(ends)
         for name in [name for name in self._since if name not in ends]:
             del self._since[name]
 
+    def _freed(self, ends: dict[str, ProvenEnds]) -> dict[str, Amounts]:
+        found: dict[str, Amounts] = {}
+        for name, end in ends.items():
+            job = self.book.get(name)
+            if job is not None:
+                tasks = sum(gone.bit_count() for gone in end.ended.values())
+                cpus, gpus = found.get(job.spec.team, (0.0, 0.0))
+                found[job.spec.team] = (cpus + tasks * job.spec.cpus, gpus + tasks * job.spec.gpus)
+        return found
+
+    def of_team(self, team: str) -> list[Edit]:
+        """The edits that record what has ended of a team's jobs.
+
+        They go ahead of its next claim, in the same transaction if there is room: a team that waits at its limit must
+        not wait as well for ends to be gathered.
+        """
+        return [Edit(name, partial(self.without, end=end), self.conditions(end)) for name, end in self.proven.items()
+                if end.ended and (job := self.book.get(name)) is not None and job.spec.team == team]
+
     def record(self) -> None:
         """Ends are gathered for a moment: the tasks of an array end one after the other, and each write counts.
 
--- a/tidebend/service/ledger.py
+++ b/tidebend/service/ledger.py
@@ -158,12 +158,16 @@
                 writes.append((TEAM + team, draft.usage.pack(), None))
             if batch.writes and (len({*batch.writes, *(key for key, _, _ in writes)}) > most
                                  or len(batch.checks.keys() | checks.keys()) > self.sizes.most_checks
-                                 or batch.bytes + draft.bytes > MOST_BYTES):
+                                 or batch.bytes + draft.bytes > MOST_BYTES
+                                 or any(batch.checks.get(key, version) != version for key, version in checks.items())):
+                # The last guards against a condition that takes the place of another on the same key: what was made
+                # from the older reading would go through unchecked.
                 return batch, edits[number:]
             batch.checks.update(checks)
             batch.writes.update((write[0], write) for write in writes)
             if charged or usage.shares:
-                batch.teams[team] = draft.usage
+                # what ends in this transaction is free for the claims that follow in it
+                batch.teams[team] = draft.usage.freed(job.spec, draft.job.ended - job.ended)
             for zone, (cpus, gpus) in added.items():
                 before = batch.added.get((team, zone), (0.0, 0.0))
                 batch.added[team, zone] = (before[0] + cpus, before[1] + gpus)
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -6,10 +6,9 @@
 import logging
 import threading
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from tidebend.bookkeeping.book import JobBook
-from tidebend.bookkeeping.jobs import Job
 from tidebend.bookkeeping.machines import Fleet
 from tidebend.coordination import Coordinator, block_of
 from tidebend.protocol import MachineType
@@ -19,6 +18,7 @@
 from tidebend.service.estimates import Estimates
 from tidebend.service.ledger import Ledger
 from tidebend.service.places import Places
+from tidebend.service.reclaims import Reclaims
 from tidebend.service.room import Room
 from tidebend.service.shares import ShareMoves
 from tidebend.service.turns import Turns
@@ -47,10 +47,10 @@
         self.waiting = Waiting(settings, coordinator, book, fleet, types, self.estimates, self.ends)
         self.turns = Turns(settings)
         self.claims = Claims(settings, coordinator, ledger, self.ends, self.waiting, send)
+        self.reclaims = Reclaims(settings, book, shares, self.ends)
         self.room = Room(settings, coordinator, book, fleet, self.turns, send)
         self.event = threading.Event()
         self.look_up: Callable[[list[str], str], None] = lambda names, kind: None
-        self._short_since: dict[str, float] = {}  # team -> steady time since which its free share is too small
         self._rest_until = 0.0  # steady time
 
     def start(self) -> None:
@@ -105,6 +105,8 @@
         for name in self.turns.keep(jobs):
             self.room.forget(name)
             self.claims.at.pop(name, None)
+        # also while none of our machines can be used: shares of a zone that is cut off lie with whoever took its block
+        self.reclaims.look(jobs.values(), now)
         places = self.places.all(now, clock) if jobs else None
         if not places:
             return
@@ -141,25 +143,4 @@
             if placement.now:
                 chosen.setdefault(placement.job, []).append(placement)
         self.claims.claim(chosen, places)
-        self._give_back(jobs.values(), now)
         self.room.make([want for want in wants if want.waiting > 0], places, now, clock)
-
-    def _give_back(self, waiting: Iterable[Job], now: float) -> None:
-        """Shares that we don't use go back when work of their team waits that finds no room in what is free.
-
-        A moment later, since it is we who use them first: our own tasks that end make room for the team's next.
-        """
-        short = set()
-        for job in waiting:
-            limit, usage = self.settings.teams.get(job.spec.team), self.book.team(job.spec.team)
-            if limit is not None and usage.shares is not None:
-                total = usage.shares.total()
-                if not limit.allows(total[0] + job.spec.cpus, total[1] + job.spec.gpus):
-                    short.add(job.spec.team)
-        for team in [team for team in self._short_since if team not in short]:
-            del self._short_since[team]
-        for team in short:
-            if now - self._short_since.setdefault(team, now) > self.ends.claim_pause_s:
-                self._short_since[team] = now
-                with contextlib.suppress(Conflict):
-                    self.shares.give_back(team)
--- /dev/null
+++ b/tidebend/service/reclaims.py
@@ -0,0 +1,58 @@
+"""Shares of a team's limit go back when work of the team waits that finds no room in what is free of it."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterable
+
+from tidebend.bookkeeping.book import JobBook
+from tidebend.bookkeeping.jobs import Job
+from tidebend.service.ends import Ends
+from tidebend.service.shares import ShareMoves
+from tidebend.settings import Settings
+from tidebend.storage import Conflict
+from tidebend.tenancy import Amounts
+
+
+class Reclaims:
+    """Every holder looks at the same records: who waits, what is free, and what of its own shares it doesn't use.
+
+    That its work waits is all that a team has to say, and its job's record says it. A share lies with whoever holds its
+    zone's block: so it waits for a holder that is dead or cut off no longer than for that block's next holder.
+    """
+
+    def __init__(self, settings: Settings, book: JobBook, shares: ShareMoves, ends: Ends) -> None:
+        self.settings = settings
+        self.book = book
+        self.shares = shares
+        # a moment later, since it is we who use them first: our own tasks that end make room for the team's next
+        self.pause_s = ends.claim_pause_s
+        self._since: dict[str, float] = {}  # team -> steady time since which what is free is too small
+
+    def look(self, waiting: Iterable[Job], now: float) -> None:
+        short = self._short(waiting)
+        self._since = {team: self._since.get(team, now) for team in short}
+        for team in sorted(short):
+            if now - self._since[team] > self.pause_s:
+                self._since[team] = now
+                with contextlib.suppress(Conflict):
+                    self.shares.give_back(team)
+
+    def _short(self, waiting: Iterable[Job]) -> set[str]:
+        """Teams some job of which can't begin another task, or can't begin at all, with what is free."""
+        totals: dict[str, Amounts | None] = {}
+        short = set()
+        for job in waiting:
+            spec = job.spec
+            limit = self.settings.teams.get(spec.team)
+            if limit is None or spec.team in short:
+                continue
+            if spec.team not in totals:
+                shares = self.book.team(spec.team).shares
+                totals[spec.team] = shares.total() if shares else None
+            total = totals[spec.team]
+            # guards against a gang that waits for ever beside a free amount that any one of its tasks would fit into
+            tasks = job.pending.bit_count() if spec.kind == "gang" else 1
+            if total is not None and not limit.allows(total[0] + spec.cpus * tasks, total[1] + spec.gpus * tasks):
+                short.add(spec.team)
+        return short
--- a/tidebend/service/waiting.py
+++ b/tidebend/service/waiting.py
@@ -94,16 +94,15 @@
         team = self.settings.teams.get(spec.team)
         headroom = pending.bit_count()
         within = False
-        end = self.ends.proven.get(job.id)
-        if end is not None:
-            usage = usage.freed(spec, job.running - job.without(end.ended, 0).running)
+        freed = self.ends.freed.get(spec.team, (0.0, 0.0))
+        usage = usage.less(freed)
         if team is not None:
             if team.cpus_max is not None and spec.cpus > 0:
                 headroom = min(headroom, int((team.cpus_max - usage.cpus + 1e-6) // spec.cpus))
             if team.gpus_max is not None and spec.gpus > 0:
                 headroom = min(headroom, int((team.gpus_max - usage.gpus + 1e-6) // spec.gpus))
-            within = used[0] + spec.cpus <= team.cpus + 1e-6 and (
-                spec.gpus <= 0 or used[1] + spec.gpus <= team.gpus + 1e-6)
+            within = used[0] - freed[0] + spec.cpus <= team.cpus + 1e-6 and (
+                spec.gpus <= 0 or used[1] - freed[1] + spec.gpus <= team.gpus + 1e-6)
         # the steady clock and the time of day meet here: values are of the time of day
         demand = self._demands.get(job.id) or self._own_demand(job, estimate)
         value = value_of(demand, job.since, estimate, within)
--- a/tidebend/tenancy/usage.py
+++ b/tidebend/tenancy/usage.py
@@ -30,9 +30,13 @@
         return replace(self, cpus=amount(self.cpus + cpus), gpus=amount(self.gpus + gpus),
                        charged=(amount(self.charged[0] + cpus), amount(self.charged[1] + gpus)))
 
+    def less(self, amounts: Amounts) -> Usage:
+        """Without these amounts, which are to be given back in the same transaction, or soon."""
+        return replace(self, cpus=amount(self.cpus - amounts[0]), gpus=amount(self.gpus - amounts[1]))
+
     def freed(self, spec: JobSpec, tasks: int) -> Usage:
         """Ends that go into the same transaction, or will soon."""
-        return replace(self, cpus=amount(self.cpus - spec.cpus * tasks), gpus=amount(self.gpus - spec.gpus * tasks))
+        return self.less((spec.cpus * tasks, spec.gpus * tasks))
 
     def without(self, spec: JobSpec, tasks: int) -> Usage:
         """A job is over: the record no longer counts what it claimed, all of which had ended."""
