What a team is owed of its guarantee goes ahead of what others borrow

Cause: standing reservations and the pick knew no guarantees but for a worth of two, so that a team which borrows, with work that has waited for long, took all room that came free while others stood below their guarantees.

Change: a mapping event places what is owed first, over all zones' claims, in the order that it has anyway (standing reservations, then the pick), task by task up to the guarantee, gangs only whole; then the rest. Nothing is stopped for it.

--- a/tests/test_tenancy.py
+++ b/tests/test_tenancy.py
@@ -1,7 +1,9 @@
-"""Limits between holders: shares that move, ends that make room."""
+"""Limits and guarantees between holders: shares that move, ends that make room, room that is owed."""
 
 from tests.test_guards import claim_in, shared, spec, stale_pair, world  # noqa: F401 (a fixture)
+from tests.test_scheduling import place, want
 from tidebend.bookkeeping.claims import Claim
+from tidebend.scheduling import Owed, map_tasks
 from tidebend.service.ledger import Edit
 
 
@@ -67,3 +69,32 @@
     world.state.transact({"if": [], "writes": [{"put": "tidebend/live/quota/team", "v": value}]})
     first.mirror.catch_up(0.0, "claim")
     assert reclaims._short([job]) == set()
+
+
+def started(placements, job):
+    return sum(placement.tasks for placement in placements if placement.job == job and placement.now)
+
+
+def test_room_goes_to_what_is_owed_before_a_borrowers_standing_reservations():
+    """The borrower has waited for longest and is worth more; the small team is owed four tasks of eight."""
+    places = [place(f"m{number}") for number in range(3)]  # two tasks fit on each
+    greedy = want("greedy", team="greedy", tasks=10, priority="high")
+    greedy.reserved = True
+    small = want("small", team="small", tasks=8)
+    owed = {"small": Owed(16.0, 0.0), "greedy": Owed(-100.0, 0.0)}
+    placements = map_tasks([greedy, small], places, 0.0, 60.0, owed)
+    assert (started(placements, "small"), started(placements, "greedy")) == (4, 2)
+    assert owed["small"].cpus == 0.0
+
+
+def test_a_gang_is_owed_only_if_all_of_it_is_within_the_guarantee():
+    greedy = want("greedy", team="greedy", tasks=6)
+    greedy.reserved = True
+    gang = want("gang", team="small", kind="gang", tasks=3)
+    places = [place(f"m{number}") for number in range(2)]
+    assert started(map_tasks([greedy, gang], places, 0.0, 60.0, {"small": Owed(8.0, 0.0)}), "gang") == 0
+    greedy = want("greedy", team="greedy", tasks=6)
+    greedy.reserved = True
+    gang = want("gang", team="small", kind="gang", tasks=3)
+    places = [place(f"m{number}") for number in range(2)]
+    assert started(map_tasks([greedy, gang], places, 0.0, 60.0, {"small": Owed(12.0, 0.0)}), "gang") == 3
--- a/tidebend/scheduling/__init__.py
+++ b/tidebend/scheduling/__init__.py
@@ -4,7 +4,7 @@
 from tidebend.scheduling.pick import map_tasks
 from tidebend.scheduling.timeline import Timeline
 from tidebend.scheduling.values import Demand, Value, demands, is_reserved, own_demand, value_of
-from tidebend.scheduling.wants import Place, Placement, Want, allowed_on
+from tidebend.scheduling.wants import Owed, Place, Placement, Want, allowed_on
 
-__all__ = ["EPSILON", "Amount", "Demand", "Place", "Placement", "Timeline", "Value", "Want", "allowed_on", "demands",
-           "is_reserved", "largest_share", "map_tasks", "need_of", "own_demand", "times_fit", "value_of"]
+__all__ = ["EPSILON", "Amount", "Demand", "Owed", "Place", "Placement", "Timeline", "Value", "Want", "allowed_on",
+           "demands", "is_reserved", "largest_share", "map_tasks", "need_of", "own_demand", "times_fit", "value_of"]
--- a/tidebend/scheduling/pick.py
+++ b/tidebend/scheduling/pick.py
@@ -8,7 +8,7 @@
 from tidebend.scheduling.amounts import EPSILON, need_of, times_fit
 from tidebend.scheduling.gangs import place_gang
 from tidebend.scheduling.slots import Slot, best_slot, rate_of
-from tidebend.scheduling.wants import Place, Placement, Want, allowed_on
+from tidebend.scheduling.wants import Owed, Place, Placement, Want, allowed_on
 
 # busy machines that an event looks at together when a want's best slot may be on one of them
 LOOK = 8
@@ -35,8 +35,13 @@
             self.names.discard(place.name)
 
 
-def map_tasks(wants: list[Want], places: list[Place], now: float, horizon: float) -> list[Placement]:
-    """One mapping event. The place-holders in the result guard their slots within it, and lapse with it."""
+def map_tasks(wants: list[Want], places: list[Place], now: float, horizon: float,
+              owed: dict[str, Owed] | None = None) -> list[Placement]:
+    """One mapping event. The place-holders in the result guard their slots within it, and lapse with it.
+
+    `owed`: what teams still have to get of their guarantees; it shrinks by what is placed.
+    """
+    owed = owed or {}
     placements: list[Placement] = []
     latest = now + horizon
     wants = [want for want in wants if want.waiting > 0 and want.headroom > 0]  # teams at their limit are skipped
@@ -44,19 +49,27 @@
     startable = _Startable(wants, places, now)
     open_set = {spot for spot, place in enumerate(places) if place.name in startable.names}
 
-    def run(entries: list[Want]) -> None:
+    def take(want: Want, tasks: int) -> None:
+        if want.spec.team in owed:
+            owed[want.spec.team].take(want.spec, tasks)
+
+    def most(want: Want, guaranteed: bool) -> int:
+        """How many tasks of a want may be placed now, in a run of what is owed or in another."""
+        return min(want.waiting, want.headroom, owed[want.spec.team].tasks(want.spec) if guaranteed else want.waiting)
+
+    def run(entries: list[Want], guaranteed: bool = False) -> None:
         # Placing changes slots only on its machine, and mostly for the worse. So the best of all slots is the top
         # of a heap, once its machine is found unchanged since the slot was computed.
         heap: list[tuple[Slot, int, int, int]] = []
 
         def offer(entry: int, spot: int) -> None:
             want, place = entries[entry], places[spot]
-            if want.waiting > 0 and want.headroom > 0:
+            if most(want, guaranteed) > 0:
                 slot = best_slot(want, place, now, latest)
                 if slot is not None:
                     heappush(heap, (slot, entry, spot, place.changes))
 
-        if not startable.names:
+        if not startable.names or not entries:
             return
         # the other machines in the order in which the first task on each ends
         order = sorted((place.timeline.times[1], spot) for spot, place in enumerate(places)
@@ -66,7 +79,7 @@
 
         def look_later(entry: int) -> None:
             want, at = entries[entry], looked[entry]
-            if at < len(order) and want.waiting > 0:
+            if at < len(order) and most(want, guaranteed) > 0:
                 start = max(want.not_before, order[at][0])
                 if start <= latest:
                     finish = start + want.estimate
@@ -75,10 +88,11 @@
 
         for entry, want in enumerate(entries):
             if want.gang:
-                if want.headroom >= want.waiting:
+                if most(want, guaranteed) >= want.waiting > 0:
                     for placement in place_gang(want, places, now, latest) or ():
                         placements.append(placement)
                         want.waiting -= placement.tasks
+                        take(want, placement.tasks)
                 continue
             # Slots on other machines are computed a few at a time, once the want's best one may be among them: none
             # begins before the first task there ends.
@@ -108,7 +122,7 @@
                 continue
             finish, start = slot[1], slot[6]
             need = need_of(want.spec)
-            tasks = min(want.waiting, want.headroom, want.zone_room(place.zone),
+            tasks = min(most(want, guaranteed), want.zone_room(place.zone),
                         place.timeline.room(start, finish, need))
             if tasks < 1:
                 continue
@@ -124,6 +138,7 @@
             placements.append(Placement(want.job, place.name, tasks, start, finish, starts))
             want.waiting -= tasks
             want.headroom -= tasks
+            take(want, tasks)
             want.zones[place.zone] = want.zones.get(place.zone, 0) + tasks
             # A busy machine, where nobody can start now, takes one place-holder in an event: who comes later finds
             # another, and what an event costs stays in proportion to the machines, however much is waiting.
@@ -131,9 +146,14 @@
             if place.name in startable.names:
                 offer(entry, spot)
 
-    # Services go first; then standing reservations, the oldest soft deadline before the others; then the pick.
+    # Services go first; then standing reservations, the oldest soft deadline before the others; then the pick. What a
+    # team is owed of its guarantee goes ahead of all that is beyond one, in the same order: guards against a team that
+    # borrows and has work waiting for so long that its standing reservations take all the room that comes free.
     run([want for want in wants if want.service])
-    for want in sorted((w for w in wants if w.reserved and not w.service), key=lambda w: (w.value.soft, w.job)):
-        run([want])
-    run([want for want in wants if not want.service and not want.reserved])
+    for guaranteed in (True, False):
+        left = [want for want in wants if not want.service and want.waiting > 0
+                and (not guaranteed or (want.spec.team in owed and most(want, guaranteed) > 0))]
+        for want in sorted((want for want in left if want.reserved), key=lambda want: (want.value.soft, want.job)):
+            run([want], guaranteed)
+        run([want for want in left if not want.reserved], guaranteed)
     return placements
--- a/tidebend/scheduling/wants.py
+++ b/tidebend/scheduling/wants.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from tidebend.protocol import JobSpec, MachineType
+from tidebend.scheduling.amounts import times_fit
 from tidebend.scheduling.timeline import Timeline
 from tidebend.scheduling.values import Value
 
@@ -69,6 +70,21 @@
         return self.waiting
 
 
+@dataclass(slots=True)
+class Owed:
+    """What a team still has to get of its guarantee: CPUs and GPUs."""
+
+    cpus: float
+    gpus: float
+
+    def tasks(self, spec: JobSpec) -> int:
+        return times_fit((self.cpus, self.gpus, 0.0), (spec.cpus, spec.gpus, 0.0))
+
+    def take(self, spec: JobSpec, tasks: int) -> None:
+        self.cpus -= tasks * spec.cpus
+        self.gpus -= tasks * spec.gpus
+
+
 @dataclass(frozen=True, slots=True)
 class Placement:
     job: str
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -137,7 +137,8 @@
             wants.append(want)
         longest = max((want.estimate for want in wants), default=0.0)
         horizon = self.settings.knobs.horizon * longest
-        placements = map_tasks(wants, [place for place, _, _ in places.values()], clock, horizon)
+        placements = map_tasks(wants, [place for place, _, _ in places.values()], clock, horizon,
+                               self.waiting.owed({want.spec.team for want in wants}))
         chosen: dict[str, list[Placement]] = {}
         for placement in placements:
             if placement.now:
--- a/tidebend/service/waiting.py
+++ b/tidebend/service/waiting.py
@@ -12,7 +12,7 @@
 from tidebend.bookkeeping.tasksets import members
 from tidebend.coordination import Coordinator
 from tidebend.protocol import JobSpec, MachineType
-from tidebend.scheduling import Demand, Want, demands, is_reserved, largest_share, own_demand, value_of
+from tidebend.scheduling import Demand, Owed, Want, demands, is_reserved, largest_share, own_demand, value_of
 from tidebend.service.ends import Ends
 from tidebend.service.estimates import Estimates
 from tidebend.settings import Settings
@@ -114,6 +114,16 @@
                     job.since + self.settings.start_aims.get(spec.job_class, math.inf),
                     spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()))
 
+    def owed(self, teams: Iterable[str]) -> dict[str, Owed]:
+        """What these teams have still to get of their guarantees, over all zones."""
+        found = {}
+        for name in teams:
+            team = self.settings.teams.get(name)
+            if team is not None:
+                used, freed = self.book.used(name), self.ends.freed.get(name, (0.0, 0.0))
+                found[name] = Owed(team.cpus - used[0] + freed[0], team.gpus - used[1] + freed[1])
+        return found
+
     def still_gathers(self, job: Job, clock: float) -> bool:
         """Whether a gang's attempt hasn't begun to run, so that replacements for lost tasks complete it.
 
