Shares given back without an answer put their team in doubt: a late change was an overshoot

Cause: giving back was conditional on the shares and the block. A claim within the share compares the shares and doesn't write them, so a change that got no answer could still be executed after such a claim, and the claim's room be taken by another zone's holder.

Change: such a team is in doubt like one with a claim without an answer: before it claims again its shares are written anew, which ends the late one.

--- a/tidebend/service/shares.py
+++ b/tidebend/service/shares.py
@@ -10,7 +10,7 @@
 from tidebend.coordination.formats import FORMAT, Formats
 from tidebend.protocol import Write
 from tidebend.settings import Settings
-from tidebend.storage import Conflict, Mirror, Unavailable
+from tidebend.storage import Conflict, Mirror, Unavailable, Unknown
 from tidebend.tenancy import QUOTA, SPENT, TEAM, Amounts, Shares, lowered, raised
 
 log = logging.getLogger("ledger")
@@ -55,11 +55,12 @@
         return checks, [(QUOTA + team, Shares(0, enough).pack(), None)]
 
     def in_doubt(self, teams: set[str]) -> None:
-        """Claims of these teams got no answer: they may be executed yet."""
+        """Claims of these teams, or changes of their shares, got no answer: they may be executed yet."""
         self._doubtful.update((team, object()) for team in teams)
 
     def settle_doubts(self, patience: float) -> None:
-        """A claim without an answer may be executed late, and only its team's shares bound what it takes.
+        """A claim without an answer may be executed late, and only its team's shares bound what it takes; lowered
+        shares may come late on top of a claim.
 
         Writing them anew ends that: it was conditional on the shares as they were. What happened before is read.
         """
@@ -102,5 +103,12 @@
         lower = lowered(shares, {zone: self.book.used(team, (zone,)) for zone in held})
         if lower is None:
             return False
-        self.mirror.write({QUOTA + team: shares.version, **dict(held.values())}, [(QUOTA + team, lower.pack(), None)])
+        try:
+            self.mirror.write({QUOTA + team: shares.version, **dict(held.values())},
+                              [(QUOTA + team, lower.pack(), None)])
+        except Unknown:
+            # Guards against overshoot: a claim within the share as we know it doesn't write the shares, so that this
+            # would still be executed after it, and others would take what the claim uses.
+            self.in_doubt({team})
+            raise
         return True
