A mapping event costs once: what is owed and finds no slot isn't tried again; fewer ends go ahead

Change: a want is in one of the two runs. The check of what is owed is made when a slot is taken, not for each slot looked at. A gang that is owed in part is placed with the rest. Of a team's ends only as many go ahead of a claim as make room for it, the largest first.

--- a/tests/test_tenancy.py
+++ b/tests/test_tenancy.py
@@ -123,3 +123,9 @@
     gang = want("gang", team="small", kind="gang", tasks=3)
     places = [place(f"m{number}") for number in range(2)]
     assert started(map_tasks([greedy, gang], places, 0.0, 60.0, {"small": Owed(12.0, 0.0)}), "gang") == 3
+
+
+def test_a_gang_that_is_owed_in_part_only_is_placed_like_what_is_borrowed():
+    gang = want("gang", team="small", kind="gang", tasks=3)
+    places = [place(f"m{number}") for number in range(2)]
+    assert started(map_tasks([gang], places, 0.0, 60.0, {"small": Owed(8.0, 0.0)}), "gang") == 3
--- a/tidebend/scheduling/pick.py
+++ b/tidebend/scheduling/pick.py
@@ -57,6 +57,10 @@
         """How many tasks of a want may be placed now, in a run of what is owed or in another."""
         return min(want.waiting, want.headroom, owed[want.spec.team].tasks(want.spec) if guaranteed else want.waiting)
 
+    def is_owed(want: Want) -> bool:
+        """Whether some of its tasks, or all of a gang's, are within what its team is owed."""
+        return want.spec.team in owed and most(want, True) >= (want.waiting if want.gang else 1)
+
     def run(entries: list[Want], guaranteed: bool = False) -> None:
         # Placing changes slots only on its machine, and mostly for the worse. So the best of all slots is the top
         # of a heap, once its machine is found unchanged since the slot was computed.
@@ -64,7 +68,7 @@
 
         def offer(entry: int, spot: int) -> None:
             want, place = entries[entry], places[spot]
-            if most(want, guaranteed) > 0:
+            if want.waiting > 0 and want.headroom > 0:
                 slot = best_slot(want, place, now, latest)
                 if slot is not None:
                     heappush(heap, (slot, entry, spot, place.changes))
@@ -79,7 +83,7 @@
 
         def look_later(entry: int) -> None:
             want, at = entries[entry], looked[entry]
-            if at < len(order) and most(want, guaranteed) > 0:
+            if at < len(order) and want.waiting > 0:
                 start = max(want.not_before, order[at][0])
                 if start <= latest:
                     finish = start + want.estimate
@@ -105,6 +109,8 @@
             look_later(entry)
         while heap and startable.names:
             slot, entry, spot, changes = heappop(heap)
+            if guaranteed and most(entries[entry], guaranteed) < 1:
+                continue  # its team has all that it is owed
             if spot < 0:
                 want, at = entries[entry], looked[entry]
                 looked[entry] = at + LOOK
@@ -151,8 +157,9 @@
     # borrows and has work waiting for so long that its standing reservations take all the room that comes free.
     run([want for want in wants if want.service])
     for guaranteed in (True, False):
+        # what is owed and wasn't placed found no slot, and won't find one in what is left: each event costs once
         left = [want for want in wants if not want.service and want.waiting > 0
-                and (not guaranteed or (want.spec.team in owed and most(want, guaranteed) > 0))]
+                and guaranteed == is_owed(want)]
         for want in sorted((want for want in left if want.reserved), key=lambda want: (want.value.soft, want.job)):
             run([want], guaranteed)
         run([want for want in left if not want.reserved], guaranteed)
--- a/tidebend/service/claims.py
+++ b/tidebend/service/claims.py
@@ -65,10 +65,20 @@
             job = self.ledger.book.get(name)
             if job is not None:
                 usage = asked.get(job.spec.team) or self.ledger.book.team(job.spec.team, held)
+                if name in self.ends.proven:  # these go with the claim anyway
+                    usage = usage.less(self.ends.proven[name].amounts(job.spec))
                 asked[job.spec.team] = usage.plus(job.spec, sum(placement.tasks for placement in group))
-        short = [team for team, usage in asked.items()
-                 if team in self.settings.teams and not self.settings.teams[team].allows(usage.cpus, usage.gpus)]
-        return [edit for team in short for edit in self.ends.of_team(team) if edit.job not in chosen]
+        first: list[Edit] = []
+        for name, usage in asked.items():
+            limit = self.settings.teams.get(name)
+            for freed, edit in self.ends.of_team(name) if limit is not None else ():
+                # each of them costs a change: no more than make room
+                if limit.allows(usage.cpus, usage.gpus):
+                    break
+                if edit.job not in chosen:
+                    usage = usage.less(freed)
+                    first.append(edit)
+        return first
 
     def _claimed(self, job: Job, usage: Usage, group: list[Placement],
                  places: Found, at: float, end: ProvenEnds | None) -> Job | None:
--- a/tidebend/service/ends.py
+++ b/tidebend/service/ends.py
@@ -42,6 +42,11 @@
     done: int = 0
     grants: set[Grant] = field(default_factory=set)
 
+    def amounts(self, spec: JobSpec) -> Amounts:
+        """What these ends give back of the team's limit."""
+        tasks = sum(gone.bit_count() for gone in self.ended.values())
+        return tasks * spec.cpus, tasks * spec.gpus
+
 
 class Ends:
     """What has ended in our blocks and isn't recorded yet."""
@@ -89,19 +94,24 @@
         for name, end in ends.items():
             job = self.book.get(name)
             if job is not None:
-                tasks = sum(gone.bit_count() for gone in end.ended.values())
-                cpus, gpus = found.get(job.spec.team, (0.0, 0.0))
-                found[job.spec.team] = (cpus + tasks * job.spec.cpus, gpus + tasks * job.spec.gpus)
+                cpus, gpus = end.amounts(job.spec)
+                before = found.get(job.spec.team, (0.0, 0.0))
+                found[job.spec.team] = (before[0] + cpus, before[1] + gpus)
         return found
 
-    def of_team(self, team: str) -> list[Edit]:
-        """The edits that record what has ended of a team's jobs.
+    def of_team(self, team: str) -> list[tuple[Amounts, Edit]]:
+        """What has ended of a team's jobs, the most first: what it frees, and the edit that records it.
 
         They go ahead of its next claim, in the same transaction if there is room: a team that waits at its limit must
         not wait as well for ends to be gathered.
         """
-        return [Edit(name, partial(self.without, end=end), self.conditions(end)) for name, end in self.proven.items()
-                if end.ended and (job := self.book.get(name)) is not None and job.spec.team == team]
+        found = []
+        for name, end in self.proven.items():
+            job = self.book.get(name)
+            if job is not None and job.spec.team == team and end.ended:
+                edit = Edit(name, partial(self.without, end=end), self.conditions(end))
+                found.append((end.amounts(job.spec), edit))
+        return sorted(found, key=lambda row: (-row[0][0], -row[0][1], row[1].job))
 
     def record(self) -> None:
         """Ends are gathered for a moment: the tasks of an array end one after the other, and each write counts.
