Borrowed work of a higher priority takes part on equal terms with what is owed

Change: what is owed goes ahead of borrowed work of the same or a lower starting value; what is worth more shares its run, in the same order as ever. Nothing changes where nothing is borrowed.

--- a/tidebend/scheduling/pick.py
+++ b/tidebend/scheduling/pick.py
@@ -53,15 +53,15 @@
         if want.spec.team in owed:
             owed[want.spec.team].take(want.spec, tasks)
 
-    def most(want: Want, guaranteed: bool) -> int:
-        """How many tasks of a want may be placed now, in a run of what is owed or in another."""
-        return min(want.waiting, want.headroom, owed[want.spec.team].tasks(want.spec) if guaranteed else want.waiting)
+    def most(want: Want, owed_only: bool) -> int:
+        """How many tasks of a want may be placed now; `owed_only`: no more than its team is owed."""
+        return min(want.waiting, want.headroom, owed[want.spec.team].tasks(want.spec) if owed_only else want.waiting)
 
     def is_owed(want: Want) -> bool:
         """Whether some of its tasks, or all of a gang's, are within what its team is owed."""
         return want.spec.team in owed and most(want, True) >= (want.waiting if want.gang else 1)
 
-    def run(entries: list[Want], guaranteed: bool = False) -> None:
+    def run(entries: list[Want], owed_only: frozenset[str] = frozenset()) -> None:
         # Placing changes slots only on its machine, and mostly for the worse. So the best of all slots is the top
         # of a heap, once its machine is found unchanged since the slot was computed.
         heap: list[tuple[Slot, int, int, int]] = []
@@ -92,7 +92,7 @@
 
         for entry, want in enumerate(entries):
             if want.gang:
-                if most(want, guaranteed) >= want.waiting > 0:
+                if most(want, want.job in owed_only) >= want.waiting > 0:
                     for placement in place_gang(want, places, now, latest) or ():
                         placements.append(placement)
                         want.waiting -= placement.tasks
@@ -109,7 +109,8 @@
             look_later(entry)
         while heap and startable.names:
             slot, entry, spot, changes = heappop(heap)
-            if guaranteed and most(entries[entry], guaranteed) < 1:
+            limited = entries[entry].job in owed_only
+            if limited and most(entries[entry], limited) < 1:
                 continue  # its team has all that it is owed
             if spot < 0:
                 want, at = entries[entry], looked[entry]
@@ -128,7 +129,7 @@
                 continue
             finish, start = slot[1], slot[6]
             need = need_of(want.spec)
-            tasks = min(most(want, guaranteed), want.zone_room(place.zone),
+            tasks = min(most(want, limited), want.zone_room(place.zone),
                         place.timeline.room(start, finish, need))
             if tasks < 1:
                 continue
@@ -153,14 +154,23 @@
                 offer(entry, spot)
 
     # Services go first; then standing reservations, the oldest soft deadline before the others; then the pick. What a
-    # team is owed of its guarantee goes ahead of all that is beyond one, in the same order: guards against a team that
+    # team is owed of its guarantee goes ahead of what is borrowed, in the same order: guards against a team that
     # borrows and has work waiting for so long that its standing reservations take all the room that comes free.
+    # Borrowed work of a higher priority takes part on equal terms: guards against a pipeline's urgent steps that come
+    # behind another team's arrays.
     run([want for want in wants if want.service])
-    for guaranteed in (True, False):
-        # what is owed and wasn't placed found no slot, and won't find one in what is left: each event costs once
-        left = [want for want in wants if not want.service and want.waiting > 0
-                and guaranteed == is_owed(want)]
-        for want in sorted((want for want in left if want.reserved), key=lambda want: (want.value.soft, want.job)):
-            run([want], guaranteed)
-        run([want for want in left if not want.reserved], guaranteed)
+    others = [want for want in wants if not want.service]
+    promised = frozenset(want.job for want in others if is_owed(want))
+    least = min((want.value.start for want in others if want.job in promised), default=math.inf)
+
+    def in_order(entries: list[Want], owed_only: frozenset[str]) -> None:
+        for want in sorted((want for want in entries if want.reserved), key=lambda want: (want.value.soft, want.job)):
+            run([want], owed_only)
+        run([want for want in entries if not want.reserved], owed_only)
+
+    first = [want for want in others if want.job in promised or want.value.start > least]
+    in_order(first, promised)
+    # what is owed and found no slot won't find one in what is left: an event goes over each want once
+    tried = {want.job for want in first if want.job not in promised or is_owed(want)}
+    in_order([want for want in others if want.job not in tried and want.waiting > 0], frozenset())
     return placements
