--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import importlib.util
 import itertools
 import json
 import statistics
@@ -142,6 +143,9 @@
     if arguments.command == "model":
         return model(arguments)
     errors = Console(stderr=True)
+    if arguments.svg and importlib.util.find_spec("matplotlib") is None:
+        errors.print("lab: --svg needs what requirements-bench.txt names", highlight=False)
+        return UNUSABLE
     try:
         seeds = [int(word) for word in arguments.seeds.split(",")]
         pairs = [pair.split("=", 1) for pair in arguments.set]
