--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -1,5 +1,6 @@
 """One worked case for each safety guard: what would go wrong without it is in its name."""
 
+import contextlib
 import json
 import random
 import time
@@ -330,6 +331,22 @@
     return pair
 
 
+@contextlib.contextmanager
+def transactions_lost(controller):
+    """A controller's transactions get no answer and aren't executed yet: they are in the list that it gives."""
+    late, whole = [], controller.state._http.request
+
+    def lost(method, path, body=None, timeout=2.0):
+        if path == "/multi":
+            late.append(body)
+            raise NoAnswer("lost")
+        return whole(method, path, body, timeout)
+
+    controller.state._http.request = lost
+    yield late
+    controller.state._http.request = whole
+
+
 def claim_in(controller, zone, name, tasks):
     grant = controller.coordinator.grant(f"{zone}.0")
 
@@ -366,18 +383,8 @@
     first, _ = shared(world)
     assert claim_in(first, "north", "a", 0b1) is not None
     share = int(first.book.team("team").shares.zones["north"][0])
-    late, whole = [], first.state._http.request
-
-    def lost(method, path, body=None, timeout=2.0):
-        if path == "/multi":
-            late.append(body)
-            raise NoAnswer("lost")
-        return whole(method, path, body, timeout)
-
-    first.state._http.request = lost
-    with pytest.raises(Unknown):
+    with transactions_lost(first) as late, pytest.raises(Unknown):
         claim_in(first, "north", "a", (1 << share) - 1)
-    first.state._http.request = whole
     assert claim_in(first, "north", "b", (1 << share - 1) - 1) is not None
     assert world.state.transact(late[0])[0] == 409
 
--- a/tests/test_tenancy.py
+++ b/tests/test_tenancy.py
@@ -2,13 +2,12 @@
 
 import pytest
 
-from tests.test_guards import claim_in, shared, spec, stale_pair, world  # noqa: F401 (a fixture)
+from tests.test_guards import claim_in, shared, spec, stale_pair, transactions_lost, world  # noqa: F401 (a fixture)
 from tests.test_scheduling import place, want
 from tidebend.bookkeeping.claims import Claim
 from tidebend.scheduling import Owed, map_tasks
 from tidebend.service.ledger import Edit
 from tidebend.storage import Unknown
-from tidebend.transport import NoAnswer
 
 
 def ending(tasks):
@@ -64,18 +63,8 @@
     """Found by the model: a claim within a share only compares it, so that the late change would still be executed."""
     first, _ = shared(world)
     assert claim_in(first, "north", "a", 0b1) is not None  # takes a part of the rest ahead
-    late, whole = [], first.state._http.request
-
-    def lost(method, path, body=None, timeout=2.0):
-        if path == "/multi":
-            late.append(body)
-            raise NoAnswer("lost")
-        return whole(method, path, body, timeout)
-
-    first.state._http.request = lost
-    with pytest.raises(Unknown):
+    with transactions_lost(first) as late, pytest.raises(Unknown):
         first.shares.give_back("team")
-    first.state._http.request = whole
     assert claim_in(first, "north", "a", 0b10) is not None
     assert world.state.transact(late[0])[0] == 409
     assert world.state.items["tidebend/live/quota/team"][0]["north"][0] >= 2.0
