The cloud's list keeps its place between pages; idle machines go back in few calls

Cause: a list of over 500 machines has two pages. Where the cloud takes two calls a second the second page was refused for the floor it had to leave, the first was thrown away with it, and without a list nothing was rented, for minutes. Besides, each holder gave idle machines back as they became idle, up to a call a second each.

Change: service/listing.py reads on from where calls ran out, as often as its pages may take a quarter of the calls; an overdue page is read whatever is left. A machine missing from a list counts by the moment at which that list was begun. All holders together take a quarter of the calls for idle machines, of all their blocks at once. The bucket holds the burst of two seconds that the protocol allows.

--- /dev/null
+++ b/tests/test_fleet_size.py
@@ -0,0 +1,93 @@
+"""What must go on holding when a fleet outgrows the numbers that its files name."""
+
+import time
+
+import pytest
+
+from tests.test_guards import begun
+from tidebend import protocol
+from tidebend.bookkeeping.machines import Machine
+from tidebend.service.listing import CALLS_SHARE, PAGE, Listing
+from tidebend.service.rentals import SPARE_SHARE
+from tidebend.transport import Budget
+
+
+@pytest.fixture
+def world():
+    yield from begun()
+
+
+class Clock:
+    def __init__(self, monkeypatch):
+        self.now = 1000.0
+        monkeypatch.setattr(time, "monotonic", lambda: self.now)
+
+
+def pages_of(fleet, budget, log):
+    """A cloud that lists so many machines and takes so many calls a second."""
+    names = [f"vm-{number:06d}" for number in range(fleet)]
+
+    def call(method, path, body, floor=0.0):
+        if not budget.take(1.0, floor):
+            return None
+        after = path.partition("from=")[2].partition("&")[0]
+        left = [name for name in names if name > after]
+        log.append(len(left))
+        rows = [{"id": name, "address": None, "hull": "box", "harbor": "north", "driftwood": False, "tide": "starting",
+                 "heldS": 1.0} for name in left[:PAGE]]
+        return 200, {"fleet": rows, "more": len(left) > PAGE}
+
+    return call
+
+
+@pytest.mark.parametrize("fleet", [PAGE - 1, PAGE + 1, 2 * PAGE, 4 * PAGE + 1])
+def test_a_list_of_any_length_is_read_with_few_calls_and_leaves_most_of_them(fleet, monkeypatch):
+    """With two calls a second the second page of a list never got one, and without a list nothing was rented."""
+    clock = Clock(monkeypatch)
+    calls_per_s, log, others, wholes = 2.0, [], 0, []
+    budget = Budget(calls_per_s, 2.0)
+    listing = Listing(pages_of(fleet, budget, log), 10.0, calls_per_s)
+    for _ in range(120):
+        listing.read(clock.now)
+        if listing.whole is not None and listing.as_of not in wholes:
+            wholes.append(listing.as_of)
+            assert len(listing.whole) == fleet
+        while budget.take(1.0):  # rentals take all that is left, each second
+            others += 1
+        clock.now += 1.0
+    ages = [later - earlier for earlier, later in zip(wholes, wholes[1:], strict=False)]
+    pages = -(-fleet // PAGE)
+    assert len(wholes) > 5 and max(ages) <= 2.5 * max(2.5, pages / (CALLS_SHARE * calls_per_s)) + pages
+    assert others >= 0.7 * 120 * calls_per_s
+
+
+def test_a_list_that_is_cut_short_is_read_on_from_where_it_stopped(monkeypatch):
+    Clock(monkeypatch)
+    asked = []
+
+    def call(method, path, body, floor=0.0):
+        asked.append(path)
+        if len(asked) == 2:
+            return None  # no call is to be had
+        row = {"id": f"vm-{len(asked):06d}", "address": None, "hull": "box", "harbor": "north", "tide": "running"}
+        return 200, {"fleet": [row], "more": len(asked) < 3}
+
+    listing = Listing(call, 10.0, 2.0)
+    listing.read(1000.0)
+    assert listing.whole is None
+    listing.read(1001.0)
+    assert sorted(listing.whole) == ["vm-000001", "vm-000003"] and listing.as_of == 1000.0
+    assert asked == [protocol.list_path("", PAGE), *[protocol.list_path("vm-000001", PAGE)] * 2]
+
+
+def test_idle_machines_are_gathered_and_given_back_in_few_calls(world):
+    """A call a second for each holder's idle machines left none for rentals."""
+    rentals = world.controllers["n0"].rentals
+    calls = []
+    rentals.release = lambda names: not calls.append(names)
+    now = time.monotonic()
+    for tick in range(60):  # one becomes idle each second
+        rentals._spare([Machine(f"m-{tick}-{block}", "box", block, False) for block in ("north", "south")], now + tick)
+    pause_s = rentals.settings.controllers / (SPARE_SHARE * rentals.settings.cloud_rps)
+    assert 0.5 * 60 / pause_s <= len(calls) <= 60 / pause_s + 1
+    assert all(len(names) == 2 for names in calls)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -449,7 +449,7 @@
     leader._order = lambda term, offer, machines: asked.append(offer)
     leader._refused(scarce, time.monotonic())
     leader._lead_since = (leader.coordinator.term, time.monotonic() - 10.0)
-    leader._rent(leader.coordinator.term, {})
+    leader._rent(leader.coordinator.term, {}, time.monotonic())
     assert asked == [plenty, scarce]
 
 
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -21,6 +21,7 @@
 from tidebend.provisioning import Capacity, Offer, to_rent
 from tidebend.scheduling import need_of
 from tidebend.service.ledger import Edit, Ledger
+from tidebend.service.listing import Listing
 from tidebend.service.planner import Planner
 from tidebend.settings import Settings
 from tidebend.storage import Unavailable, Unknown
@@ -31,6 +32,13 @@
 
 # what a machine is charged at least, in seconds; the protocol says so
 LEAST_CHARGE_S = 60.0
+# the cloud takes bursts of so many seconds' worth of calls
+CALLS_BURST_S = 2.0
+# Of the cloud's calls, all holders together take this share for giving back machines that are merely idle. They are
+# gathered meanwhile: in a large fleet some become idle each second, and a call for each left none for rentals.
+SPARE_SHARE = 0.25
+# the cloud takes so many names in one release
+MOST_RELEASED = 100
 # a machine that nobody hears is given up after this share of the workers' lease
 GIVEN_UP_AFTER = 0.55
 
@@ -58,7 +66,7 @@
         self.types: dict[str, MachineType] = {}
         self._http = connect(settings.cloud, keep=2)
         # the leader rents and lists; every holder releases
-        self._budget = Budget(settings.cloud_rps)
+        self._budget = Budget(settings.cloud_rps, CALLS_BURST_S)
         self._guard_pause_s = min(1.0, settings.report_s / 2.0)
         self._timeout = max(2.0, settings.lease_s / 3.0)
         self._known: dict[str, Rented] = {}
@@ -66,7 +74,9 @@
         self._refusals: dict[Offer, int] = {}  # offer -> times in a row that there wasn't enough of it
         self._counter = 0
         self._types_at = -1e9
-        self._listed: tuple[float, dict[str, ListedMachine]] | None = None  # steady time and the cloud's last list
+        self.listing = Listing(self._call, settings.list_lag_s, settings.cloud_rps)
+        self._spare_pause_s = settings.controllers / (SPARE_SHARE * settings.cloud_rps)
+        self._spare_at = -1e9  # steady time from which idle machines may be given back again
         self._strangers: dict[str, float] = {}
         self._lead_since: tuple[int | None, float] = (None, 0.0)
         self.gone_news: dict[str, float] = {}
@@ -142,6 +152,7 @@
         self.fleet.drop(foreign)
         if not self.coordinator.lease_valid:
             return
+        spare: list[Machine] = []
         for block, grant in grants.items():
             own = [m for m in self.fleet.all() if block_of(m.zone) == block]
             known = {m.name for m in own}
@@ -162,7 +173,12 @@
             if silent and len(silent) == total and self.settings.peers:
                 self.coordinator.unheard(block, total, 2.0 * self.settings.lease_s)
             self._silent(block, silent, total, now)
-            self._spare(own, now)
+            spare += self._idle(own, now)
+            for machine in own:
+                with self.fleet.lock:
+                    if machine.draining:
+                        self._empty(machine)
+        self._spare(spare, now)
 
     def _silent_since(self, machine: Machine, granted: float) -> float:
         """When we last knew it to be alive; answers to direct commands count for no longer than a lease, since a
@@ -190,7 +206,7 @@
             if now - since > limit:
                 doomed.append(name)
         if doomed:
-            self.release(doomed[:100])
+            self.release(doomed[:MOST_RELEASED])
 
     def _any_cancelled(self, name: str) -> bool:
         return any(job.cancelled for job, _ in self.book.on_machine(name))
@@ -214,7 +230,7 @@
             ticks = max(1.0, (until - now) / self._guard_pause_s)
             doomed = serving[:math.ceil(len(serving) / ticks)]
         if doomed:
-            self.release(doomed[:100])
+            self.release(doomed[:MOST_RELEASED])
 
     def _worth_waiting_s(self, name: str) -> float:
         jobs = [job for job, _ in self.book.on_machine(name)]
@@ -227,7 +243,8 @@
         """What a machine is worth waiting for, by what another would need to be as useful: boot and image."""
         return self.settings.knobs.keep_idle * (kind.boot_s + kind.fetch_s(image_gb))
 
-    def _spare(self, own: list[Machine], now: float) -> None:
+    def _idle(self, own: list[Machine], now: float) -> list[Machine]:
+        """Machines of one block that aren't worth keeping."""
         for machine in own:
             if self.book.on_machine(machine.name):
                 machine.idle_since = None
@@ -245,19 +262,22 @@
                 if machine in ordinary:
                     ordinary.remove(machine)
                 doomed.append(machine)
+        return doomed
+
+    def _spare(self, doomed: list[Machine], now: float) -> None:
+        """Give back what has been gathered of idle machines, of all our blocks in one call."""
+        if not doomed or now < self._spare_at:
+            return
         with self.fleet.lock:
             # from here on no claim can come: the planner passes over machines that are being released
             for machine in doomed:
                 machine.releasing = True
-        doomed = [m for m in doomed if not self.book.on_machine(m.name)]
-        if doomed and not self.release([m.name for m in doomed[:100]]):
-            with self.fleet.lock:
-                for machine in doomed:
-                    machine.releasing = False
-        for machine in own:
-            with self.fleet.lock:
-                if machine.draining:
-                    self._empty(machine)
+        going = [m.name for m in doomed if not self.book.on_machine(m.name)][:MOST_RELEASED]
+        if going and self.release(going):
+            self._spare_at = now + self._spare_pause_s
+        with self.fleet.lock:
+            for machine in doomed:
+                machine.releasing = machine.name in self.fleet.gone
 
     def _keep_s(self, machine: Machine) -> float:
         """How long an idle machine is worth keeping."""
@@ -295,29 +315,17 @@
                 self._types_at = now
         if term is None or not self.types:
             self._lead_since = (None, 0.0)
-            self._listed = None
+            self.listing.reset()
             return
         if self._lead_since[0] != term:
             self._lead_since = (term, now)
-        # a list that is late by seconds isn't asked for each second: the calls are needed for rentals
-        if self._listed is None or now - self._listed[0] >= 0.25 * self.settings.list_lag_s:
-            listed = self._list()
-            self._listed = None if listed is None else (now, listed)
-        if self._listed is not None:
-            self._rent(term, self._listed[1])
-
-    def _list(self) -> dict[str, ListedMachine] | None:
-        found: dict[str, ListedMachine] = {}
-        after = ""
-        while True:
-            answer = self._call("GET", protocol.list_path(after, 500), None, 0.2)
-            if answer is None or answer[0] != 200:
-                return None
-            rows, more = protocol.parse_listed(answer[1])
-            found.update((row.name, row) for row in rows)
-            if not more or not rows:
-                return found
-            after = rows[-1].name
+        try:
+            self.listing.read(now)
+        except Invalid:
+            self.listing.reset()
+            raise
+        if self.listing.whole is not None:
+            self._rent(term, self.listing.whole, self.listing.as_of)
 
     def _fleets(self) -> tuple[dict[str, Rented], set[str]]:
         """Machines that some holder hears, and those that were released."""
@@ -337,7 +345,9 @@
                     heard[name] = Rented(kind, zone, bool(spot), now)
         return heard, gone
 
-    def _rent(self, term: int, listed: dict[str, ListedMachine]) -> None:
+    def _rent(self, term: int, listed: dict[str, ListedMachine], as_of: float) -> None:
+        """Give back what nobody can use, and rent what is missing; `as_of`: steady time at which the list was asked
+        for."""
         now, clock = time.monotonic(), time.time()
         heard, gone = self._fleets()
         witnessed = {grant.block for grant in self.coordinator.grants()}
@@ -352,7 +362,7 @@
         late = []
         for name, known in list(self._known.items()):
             kind = self.types.get(known.type)
-            if name in gone or (name not in listed and name not in heard and now - known.since > lag + 5.0):
+            if name in gone or (name not in listed and name not in heard and as_of - known.since > lag + self._timeout):
                 del self._known[name]
                 continue
             row = listed.get(name)
@@ -372,7 +382,7 @@
             elif now - known.since > 3.0 * boot + lag:
                 late.append(name)
         if failed or late:
-            self.release((failed + late)[:100])
+            self.release((failed + late)[:MOST_RELEASED])
         if now - self._lead_since[1] < 1.5:
             return
         # what is rented in a zone that nobody hears can't be used, nor what stands there
--- a/tidebend/transport/budget.py
+++ b/tidebend/transport/budget.py
@@ -7,19 +7,20 @@
 
 
 class Budget:
-    """A token bucket of a rate and one second's worth of burst, with a floor that lesser uses may not touch."""
+    """A token bucket of a rate and some seconds' worth of burst, with a floor that lesser uses may not touch."""
 
-    def __init__(self, rate: float) -> None:
+    def __init__(self, rate: float, burst_s: float = 1.0) -> None:
         self.rate = rate
-        self._level = rate
+        self.burst_s = burst_s
+        self._level = rate * burst_s
         self._at = time.monotonic()
         self._lock = threading.Lock()
 
     def take(self, amount: float, floor: float = 0.0) -> bool:
-        """`floor` is the share of the burst that must be left over."""
+        """`floor` is the share of a second's worth that must be left over."""
         with self._lock:
             now = time.monotonic()
-            self._level = min(self.rate, self._level + (now - self._at) * self.rate)
+            self._level = min(self.rate * self.burst_s, self._level + (now - self._at) * self.rate)
             self._at = now
             if self._level - amount < floor * self.rate:
                 return False
@@ -28,9 +29,9 @@
 
     def give_back(self, amount: float) -> None:
         with self._lock:
-            self._level = min(self.rate, self._level + amount)
+            self._level = min(self.rate * self.burst_s, self._level + amount)
 
     def change(self, rate: float) -> None:
         with self._lock:
             self.rate = rate
-            self._level = min(rate, self._level)
+            self._level = min(rate * self.burst_s, self._level)
