Sockets, threads and queues by the settings; workers yield connections; the first read is waited for

A server took two thirds of the sockets as connections, whoever came first kept one, and with more workers than that the others were refused each time until their leases ended; direct commands kept 200 idle connections and dropped them all at once at the 201st; at most 256 machines waited for a command. Requests that came a tenth of a second before a new process's first read got 503, and their users came back a second later.

Change: service/sockets.py shares out sockets and threads by max_sockets. From 85% of the connections on, answers to workers end theirs: they connect anew for the next report and all get their turn, users keep theirs; the log says so, and how many were refused. Direct commands keep the most recently used connections, their queues hold each machine once. For a fifth of a controller's lease after a start requests wait for the first read.

--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -1,15 +1,19 @@
 """What must go on holding when a fleet outgrows the numbers that its files name."""
 
+import contextlib
+import threading
 import time
+from dataclasses import replace
 
 import pytest
 
 from tests.test_guards import begun
 from tidebend import protocol
 from tidebend.bookkeeping.machines import Machine
+from tidebend.service import sockets
 from tidebend.service.listing import CALLS_SHARE, PAGE, Listing
 from tidebend.service.rentals import SPARE_SHARE
-from tidebend.transport import Budget
+from tidebend.transport import Budget, HttpClient, NoAnswer, Reply, Server, Unreachable
 
 
 @pytest.fixture
@@ -91,3 +95,65 @@
     pause_s = rentals.settings.controllers / (SPARE_SHARE * rentals.settings.cloud_rps)
     assert 0.5 * 60 / pause_s <= len(calls) <= 60 / pause_s + 1
     assert all(len(names) == 2 for names in calls)
+
+
+def test_more_workers_than_connections_all_get_their_turn_and_users_keep_theirs():
+    """Whoever had come first kept its connection, and the others lost their leases."""
+    def route(method, path, body):
+        return Reply(200, {"path": path}, yields=path == "/worker")
+
+    server = Server(("127.0.0.1", 0), route, idle_s=20.0, body_s=1.0, most=20)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    try:
+        address = server.server_address[:2]
+        user, workers = HttpClient(address), [HttpClient(address) for _ in range(60)]
+        assert user.request("GET", "/user")[0] == 200
+        users_own = user._idle[0]
+        missing, tries = {*range(60)}, 0
+        while missing and tries < 200:  # each tries again and again, and keeps its connection if it may
+            tries += 1
+            for number in list(missing):
+                with contextlib.suppress(NoAnswer, Unreachable):
+                    assert workers[number].request("GET", "/worker")[0] == 200
+                    missing.discard(number)
+        assert not missing
+        assert server._open <= 20
+        assert user.request("GET", "/user")[0] == 200 and user._idle == [users_own]
+    finally:
+        server.shutdown()
+        server.server_close()
+
+
+@pytest.mark.parametrize("most", [16, 600, 1015, 2044, 9000])
+def test_sockets_are_shared_out_by_the_settings(world, most):
+    settings = replace(world.controllers["n0"].settings, max_sockets=most)
+    ours = sockets.kept(settings) + sockets.asking(settings) + 4 * len(settings.peers)
+    assert sockets.incoming(settings) + sockets.asking(settings) <= 2000
+    assert sockets.incoming(settings) >= most // 2 or sockets.incoming(settings) > 1700
+    if most >= 600:
+        assert sockets.incoming(settings) + ours < most
+
+
+def test_direct_commands_keep_no_more_connections_than_their_share(world):
+    dispatcher = world.controllers["n0"].dispatcher
+    closed = []
+
+    class Client:
+        def __init__(self, address, keep):
+            self.address = address
+
+        def request(self, *args):
+            raise Unreachable("nobody")
+
+        def close(self):
+            closed.append(self.address)
+
+    dispatcher._connect = Client
+    dispatcher._clients.clear()
+    for number in range(500):
+        dispatcher._put((f"vm-{number}", "north", ("10.0.0.1", number), 1), dispatcher._silent)
+    assert dispatcher._silent.qsize() == 500  # none is left out
+    while dispatcher.deliver_next():
+        pass
+    kept = sockets.kept(dispatcher.settings)
+    assert len(dispatcher._clients) == kept and len(closed) == 500 - kept
--- /dev/null
+++ b/tests/test_starts.py
@@ -0,0 +1,62 @@
+"""Processes that end and are started again within a fraction of a second: what of the former one still lives."""
+
+import json
+import time
+
+import pytest
+
+from tests.test_guards import begun
+from tests.test_scenarios import JOB
+
+
+@pytest.fixture
+def world():
+    yield from begun()
+
+
+def restarted(world, node="n0"):
+    """The node's next process, before it has read anything; its first read and the machines' types come while it
+    waits."""
+    world.crash(node, 0.0)
+    version = world.versions[node]
+    from lab.links import Link  # noqa: PLC0415
+
+    controller = version.controller(world.settings(node), Link(world, node, version))
+    world.controllers[node] = controller
+    world._no_threads(controller, version.quiet)
+    return controller
+
+
+def ask(controller, method, path, body=b""):
+    return controller.route(method, path, lambda: body)
+
+
+def test_a_submission_that_comes_before_the_first_read_is_answered_after_it(world, monkeypatch):
+    """It got 503, and its user came back a second later."""
+    controller = restarted(world)
+    slept = []
+
+    def sleep(seconds):
+        world.steady += seconds
+        slept.append(seconds)
+        if len(slept) == 5:
+            controller.mirror.catch_up(0.0, "claim")
+        if len(slept) == 8:
+            controller.rentals.lead_once()
+
+    monkeypatch.setattr(time, "sleep", sleep)
+    world.jobs["req-000001"] = {"id": "req-000001", **JOB}
+    reply = ask(controller, "POST", "/api/jobs", json.dumps(world.jobs["req-000001"]).encode())
+    assert reply.status == 201 and len(slept) >= 8
+    assert ask(controller, "GET", "/ready").status == 200
+
+
+def test_requests_wait_no_longer_than_a_moment_while_nothing_can_be_read(world):
+    """An outage of the state service at the start must not hold users' connections."""
+    controller = restarted(world)
+    began = world.steady
+    assert ask(controller, "GET", "/api/jobs/req-000001").status == 503
+    assert world.steady - began <= 0.2 * controller.settings.controller_lease_s + 0.1
+    began = world.steady
+    assert ask(controller, "GET", "/ready").status == 503
+    assert world.steady - began < 0.02  # and only once
--- a/tidebend/service/controller.py
+++ b/tidebend/service/controller.py
@@ -16,6 +16,7 @@
 from tidebend.bookkeeping.parts import PART
 from tidebend.coordination import Coordinator, PeerLink, block_of
 from tidebend.coordination.formats import FORMAT, Formats
+from tidebend.service import sockets
 from tidebend.service.ledger import Ledger
 from tidebend.service.planner import Planner
 from tidebend.service.rentals import Rentals
@@ -31,11 +32,14 @@
 
 STACK_BYTES = 256 * 1024
 KEEP_FINALS = 20_000
+# how long after a start requests wait for the first read, as a share of a controller's lease
+FIRST_READ = 0.2
 
 
 class Controller:
     def __init__(self, settings: Settings, connect: Callable[..., HttpClient] = HttpClient) -> None:
         self.settings = settings
+        self._patient_until = time.monotonic() + FIRST_READ * settings.controller_lease_s
         lock = threading.RLock()
         self.state = StateClient(settings.state, settings.state_limits, settings.controllers,
                                  max(0.6, settings.controller_lease_s / 4.0), connect)
@@ -86,9 +90,21 @@
         return {"from": self.settings.name, "state_contact": self._contact(), "machines": machines,
                 "held": [grant.block for grant in self.coordinator.grants()], "blocks": self.coordinator.table()}
 
+    def _knows(self) -> bool:
+        return self.mirror.loaded.is_set() and bool(self.rentals.types)
+
+    def _first_read(self) -> None:
+        """Wait for it, if it is under way.
+
+        Guards against a refusal for being a tenth of a second early: a process that ends is started again within a
+        fraction of a second, so that users still come to it, and one who is refused comes back only after a second.
+        """
+        while not self._knows() and time.monotonic() < self._patient_until:
+            time.sleep(0.01)
+
     def ready(self) -> bool:
         """Whether this node can decide requests. When nobody can, staying up still serves final answers."""
-        if not self.mirror.loaded.is_set() or not self.rentals.types:
+        if not self._knows():
             return False
         bound = self.settings.controller_lease_s
         if time.monotonic() - self.state.last_contact <= bound:
@@ -101,7 +117,10 @@
     def route(self, method: str, path: str, body: Callable[[], bytes]) -> Reply:
         path = path.partition("?")[0]
         if path == protocol.PATH_REPORT:
-            return self.workers.report(body()) if method == "POST" else Reply(405, {"error": "use POST"})
+            reply = self.workers.report(body()) if method == "POST" else Reply(405, {"error": "use POST"})
+            reply.yields = True  # a worker connects anew for its next report, a user would have to ask again
+            return reply
+        self._first_read()
         if path == protocol.PATH_READY:
             if method not in ("GET", "HEAD"):
                 return Reply(405, {"error": "use GET"})
@@ -131,7 +150,7 @@
 
     def start(self) -> Server:
         server = Server(self.settings.listen, self.route, idle_s=2.0 * self.settings.lease_s,
-                        body_s=min(5.0, self.settings.lease_s / 2.0), most=self.settings.max_sockets * 2 // 3)
+                        body_s=min(5.0, self.settings.lease_s / 2.0), most=sockets.incoming(self.settings))
         self.begin()
         return server
 
--- /dev/null
+++ b/tidebend/service/sockets.py
@@ -0,0 +1,29 @@
+"""How a controller's sockets and threads are shared out: all by its settings, none by the size of some fleet."""
+
+from __future__ import annotations
+
+from tidebend.settings import Settings
+
+# the platform's bound, less what we run besides a thread for each connection
+MOST_THREADS = 2000 - 100
+# connections kept to workers for direct commands, and threads that ask silent ones, as shares of all sockets
+KEPT_SHARE = 1 / 16
+ASKING_SHARE = 1 / 64
+# to the state service and the cloud, listening ones, and a few that are about to be closed
+OWN = 24
+
+
+def kept(settings: Settings) -> int:
+    """Idle connections to workers, for direct commands."""
+    return max(4, int(KEPT_SHARE * settings.max_sockets))
+
+
+def asking(settings: Settings) -> int:
+    """Threads that ask silent machines; each takes a full time-out for one."""
+    return max(5, int(ASKING_SHARE * settings.max_sockets))
+
+
+def incoming(settings: Settings) -> int:
+    """Connections of users and workers at a time: what our own, to peers and by peers leave."""
+    own = OWN + 4 * len(settings.peers) + kept(settings) + asking(settings)
+    return min(MOST_THREADS - asking(settings), max(settings.max_sockets // 2, settings.max_sockets - own))
--- a/tidebend/service/workers.py
+++ b/tidebend/service/workers.py
@@ -7,6 +7,7 @@
 import queue
 import threading
 import time
+from collections import OrderedDict
 from collections.abc import Callable
 
 from tidebend import protocol
@@ -14,6 +15,7 @@
 from tidebend.bookkeeping.machines import Fleet, orders
 from tidebend.coordination import Coordinator, Grant, PeerLink, block_of
 from tidebend.protocol import Invalid
+from tidebend.service import sockets
 from tidebend.service.users import parse_body, unsure
 from tidebend.settings import Settings
 from tidebend.storage import StateClient
@@ -76,8 +78,6 @@
     """Direct commands: starts and stops reach a worker at once, not only with its next report."""
 
     THREADS = 3
-    # for machines that don't answer: asking one takes the full time-out
-    ASKING_THREADS = 5
 
     def __init__(self, settings: Settings, book: JobBook, fleet: Fleet, wake: Callable[[], None],
                  connect: Callable[..., HttpClient] = HttpClient) -> None:
@@ -90,20 +90,20 @@
         self.link: PeerLink
         # Guards against commands for healthy machines that wait behind time-outs: when a zone is cut, dozens of
         # machines are silent at a time.
-        self._healthy: queue.Queue[_Row] = queue.Queue(maxsize=256)
-        self._silent: queue.Queue[_Row] = queue.Queue(maxsize=256)
-        self._queued: set[str] = set()
-        self._clients: dict[tuple[str, int], HttpClient] = {}
+        self._healthy: queue.Queue[_Row] = queue.Queue()
+        self._silent: queue.Queue[_Row] = queue.Queue()
+        self._queued: set[str] = set()  # each machine stands in a queue once at most, which bounds them
+        self._clients: OrderedDict[tuple[str, int], HttpClient] = OrderedDict()  # the most recently used ones
         self._lock = threading.Lock()
         self._timeout = min(2.0, settings.report_s)
 
     def start(self) -> None:
-        for number in range(self.THREADS + self.ASKING_THREADS):
+        for number in range(self.THREADS + sockets.asking(self.settings)):
             rows = self._healthy if number < self.THREADS else self._silent
             threading.Thread(target=self._run, args=(rows,), name=f"dispatch-{number}", daemon=True).start()
 
     def send(self, names: set[str]) -> None:
-        """Have the recorded claims and stops of these machines carried out; a full queue leaves it to reports."""
+        """Have the recorded claims and stops of these machines carried out."""
         for name in sorted(names):
             with self.fleet.lock:
                 machine = self.fleet.machines.get(name)
@@ -118,11 +118,7 @@
             if row[0] in self._queued:
                 return
             self._queued.add(row[0])
-        try:
-            rows.put_nowait(row)
-        except queue.Full:
-            with self._lock:
-                self._queued.discard(row[0])
+        rows.put_nowait(row)
 
     def took_up(self, grant: Grant) -> None:
         """A block has become ours: let the workers that peers and we ourselves know there learn the token."""
@@ -156,9 +152,11 @@
             self._queued.discard(name)
             client = self._clients.get(address)
             if client is None:
-                if len(self._clients) > 200:
-                    self._clients.clear()
                 client = self._clients[address] = self._connect(address, keep=1)
+            self._clients.move_to_end(address)
+            old = self._clients.popitem(last=False)[1] if len(self._clients) > sockets.kept(self.settings) else None
+        if old is not None:
+            old.close()
         self._deliver(name, zone, session, client)
 
     def _deliver(self, name: str, zone: str, session: int, client: HttpClient) -> None:
--- a/tidebend/transport/client.py
+++ b/tidebend/transport/client.py
@@ -64,3 +64,10 @@
                     return status, answer
             connection.close()
         return status, answer
+
+    def close(self) -> None:
+        """Close the connections that are idle."""
+        with self._lock:
+            idle, self._idle = self._idle, []
+        for connection in idle:
+            connection.close()
--- a/tidebend/transport/server.py
+++ b/tidebend/transport/server.py
@@ -23,13 +23,14 @@
     """Thrown or returned by a handler: a status, a body and headers."""
 
     def __init__(self, status: int, body: Any = None, headers: dict[str, str] | None = None,
-                 kind: str = "application/json") -> None:
-        """`body` is sent as JSON, bytes as they are."""
+                 kind: str = "application/json", yields: bool = False) -> None:
+        """`body` is sent as JSON, bytes as they are; `yields`: where connections are short, this one is closed."""
         super().__init__(status)
         self.status = status
         self.body = body
         self.headers = headers or {}
         self.kind = kind
+        self.yields = yields
 
 
 Route = Callable[[str, str, Callable[[], bytes]], Reply]
@@ -89,6 +90,8 @@
         if not self._read and (self.headers.get("Content-Length", "0") != "0"
                                or self.headers.get("Transfer-Encoding")):
             self.close_connection = True  # what follows on the connection is a body nobody read
+        if reply.yields and self.server.short:
+            self.close_connection = True
         if isinstance(reply.body, bytes):
             data = reply.body
         else:
@@ -111,39 +114,78 @@
         log.debug(format, *args)
 
 
+# from this share of the most connections on, those that can do without theirs are closed after their answer
+SHORT_FROM = 0.85
+
+
 class Server(socketserver.ThreadingMixIn, HTTPServer):
+    """Takes up to `most` connections at a time, one thread each.
+
+    Guards against a fleet that outgrows them. Whoever connects first would keep its connection, and the others, refused
+    each time, would lose their leases. So before the most is reached, answers that yield end their connections:
+    whoever sent the request connects anew for its next one, and all get their turn.
+    """
+
     daemon_threads = True
     block_on_close = False
-    request_queue_size = 128
 
     def __init__(self, address: tuple[str, int], route: Route, idle_s: float, body_s: float, most: int,
                  handler: type[Handler] = Handler) -> None:
         self.route = route
         self.idle_s = idle_s
         self.body_s = body_s
-        self._free = threading.BoundedSemaphore(most)
+        self.most = most
+        self.request_queue_size = max(128, most)  # after a start all come at once
+        self._open = 0
+        self._refused = 0
+        self._told = False  # whether the log says that connections are short
+        self._lock = threading.Lock()
         super().__init__(address, handler)
 
+    @property
+    def short(self) -> bool:
+        return self._open >= SHORT_FROM * self.most
+
     def server_bind(self) -> None:
         # HTTPServer looks its own name up, and there are no name look-ups on the machines
         socketserver.TCPServer.server_bind(self)
         self.server_name, self.server_port = self.server_address[:2]
 
     def process_request(self, request: Any, client_address: Any) -> None:
-        if not self._free.acquire(blocking=False):
+        if not self._enter():
             self.shutdown_request(request)
             return
         try:
             super().process_request(request, client_address)
         except RuntimeError:  # no thread can be had
-            self._free.release()
+            self._leave()
             self.shutdown_request(request)
 
     def process_request_thread(self, request: Any, client_address: Any) -> None:
         try:
             super().process_request_thread(request, client_address)
         finally:
-            self._free.release()
+            self._leave()
+
+    def _enter(self) -> bool:
+        with self._lock:
+            free = self._open < self.most
+            self._open += free
+            self._refused += not free
+            told, self._told = self._told, self._told or self.short
+        if self._told and not told:
+            log.warning("%d of %d connections are in use: answers to workers end theirs", self._open, self.most)
+        return free
+
+    def _leave(self) -> None:
+        with self._lock:
+            self._open -= 1
+            over = self._told and self._open < 0.5 * self.most
+            refused = self._refused
+            if over:
+                self._told, self._refused = False, 0
+        if over:
+            log.warning("connections are no longer short; %d were refused meanwhile", refused)
 
     def handle_error(self, request: Any, client_address: Any) -> None:
         log.debug("connection of %s ended", client_address, exc_info=True)
