A lost zone is known by all at once, is on record, and is left in turns

Cause: that nobody hears a zone was learnt by one holder after the other, each from a silence of its own: 20 s after the cut. By then its controller had stopped answering its workers, and all that stood there was given up at once. What a controller knew of it was in its memory: one that was started anew meanwhile gave everything up at once as well. One that came back took machines that others had given back for silent ones, and its zone for lost again; its watch, dead since the cut, hid from it for up to a worker's lease that its block was its own.

Place-holders keep room for the replicas that must move. After a new lease reads are made until the watch has answered. Proof before restart is unchanged.

--- a/lab/links.py
+++ b/lab/links.py
@@ -24,6 +24,9 @@
         return self.link.world.from_controller(self.link.node, self.link.version, self.address, method, path,
                                                json.loads(json.dumps(body)) if body is not None else None)
 
+    def close(self):
+        pass
+
 
 @dataclass
 class Cut:
--- a/lab/world.py
+++ b/lab/world.py
@@ -216,12 +216,15 @@
         quiet = self.versions[node].quiet
         if turn % 2 == 0:
             self._quietly(quiet, lambda: controller.mirror.catch_up(0.0, "claim"))
+            controller.mirror.watched = self.steady  # as the watch would
             controller.coordinator.tend_blocks()
         if turn % 3 == 0 and controller.mirror.loaded.is_set():
             self._quietly(quiet, controller.planner.mapping_event)
         for _ in range(20):
             if not controller.dispatcher.deliver_next():
                 break
+        while "witness" in vars(controller) and controller.witness.ask_next():
+            pass
         if turn % 5 == 0:
             news = controller.news()
             for peer, other in self.controllers.items():
--- a/tidebend/coordination/coordinator.py
+++ b/tidebend/coordination/coordinator.py
@@ -19,6 +19,7 @@
 LEADER = LIVE + "leader"
 NODE = LIVE + "node/"
 BLOCK = LIVE + "block/"
+ZONE = LIVE + "zone/"
 FAILURES = (Conflict, NoSuchLease, Unavailable, Unknown)
 
 
@@ -40,7 +41,10 @@
         self._lock = threading.Lock()
         self._unheard: dict[str, float] = {}  # block -> steady time until which we would rather not hold it
         self._nodes_since: dict[str, float] = {}
+        self._unheard_since: dict[tuple[str, str], float] = {}  # block and node -> since when the leader sees it say so
         self._at_home: dict[str, tuple[str, float]] = {}  # block -> its zone's holder, and when it last held it
+        self.was_held: Callable[[str, str], bool] = lambda node, block: True  # as that node's own last news had it
+        self._renewed = -1e9  # steady time of our present lease's grant
         self.wake = threading.Event()
 
     # Our lease
@@ -67,6 +71,7 @@
                 if self.lease is not None:
                     log.info("lease %s has ended", self.lease)
                 self.lease = self.state.grant_lease(self._lease_s)
+                self._renewed = time.monotonic()
                 self._announce()
         except NoSuchLease:
             self.lease = None
@@ -90,10 +95,21 @@
 
     def unheard(self, block: str, machines: int, seconds: float) -> None:
         """We hear none of a block's machines: another controller may, and should hold it for a while."""
+        until = time.monotonic() + seconds
         if block in self._unheard:
+            self._unheard[block] = max(self._unheard[block], until)  # still so: no need to say it again
             return
         log.info("block %s: none of %d machines is heard", block, machines)
-        self._unheard[block] = time.monotonic() + seconds
+        self._unheard[block] = until
+        self._announce_or_log(block)
+
+    def hears(self, block: str) -> None:
+        """We hear some of a block's machines after all."""
+        if self._unheard.pop(block, None) is not None:
+            log.info("block %s: some of its machines are heard again", block)
+            self._announce_or_log(block)
+
+    def _announce_or_log(self, block: str) -> None:
         try:
             self._announce()
         except FAILURES as error:
@@ -103,17 +119,61 @@
         """Whether every live controller has tried and hears none of the block's machines."""
         return all(block in value.get("unheard", ()) for value, _ in self.mirror.under(NODE).values())
 
+    def lost_zones(self) -> set[str]:
+        """The zones that nobody hears."""
+        return {zone for zone in self.settings.zones if self.heard_by_nobody(block_of(zone))}
+
+    def doubtful(self, block: str, silent: Callable[[str], bool]) -> bool:
+        """Whether the block's zone may be cut off: its own controller is gone, or `silent` says that it doesn't
+        tell us anything."""
+        holder = self.holder(block)
+        at_home = {peer.name for peer in self.settings.peers if peer.zone == zone_of(block)}
+        return self.left_alone(block) is not None or (holder in at_home and silent(holder))
+
     def left_alone(self, block: str) -> tuple[str, float] | None:
         """The controller of the block's own zone, to which it was granted, and since when it is out of touch, if it is.
 
         A zone that is cut off goes on working inside: such a controller may answer its workers for as long as
         `answer_bound_s`, and their tasks go on.
         """
+        record, _ = self.mirror.get(ZONE + zone_of(block))
+        if record is not None:
+            return record["node"], time.monotonic() - (time.time() - record["at"])
         name, seen = self._at_home.get(block, ("", 0.0))
         if not name or self.mirror.get(NODE + name)[0] is not None:
             return None
         return name, seen - self._lease_s  # it may have lost touch a lease before its grant ended
 
+    def works_on(self, block: str) -> bool:
+        """Whether the controller that was left alone with a block held it by its own news: granted isn't held."""
+        record, _ = self.mirror.get(ZONE + zone_of(block))
+        alone = self.left_alone(block)
+        return record["held"] if record is not None else alone is not None and self.was_held(alone[0], block)
+
+    def _keep_zones(self, term: int) -> None:
+        """The leader records which zones were left alone, with whom and since when, until that controller is back.
+
+        Without a lease, and not in memory: every controller goes by the same, one that has just been started too.
+        Guards against all that stands in such a zone being given up at once by a holder that doesn't know of it.
+        """
+        for zone in self.settings.zones:
+            block, key = block_of(zone), ZONE + zone
+            record, version = self.mirror.get(key)
+            if record is None:
+                alone = self.left_alone(block)
+                if alone is None or time.monotonic() - alone[1] > self.settings.cancel_s:
+                    continue  # whatever stood there alone has ended
+                at = time.time() - (time.monotonic() - alone[1])
+                value = {"node": alone[0], "at": round(at, 3), "held": self.was_held(alone[0], block)}
+                log.info("zone %s: %s is out of touch; it works on inside at the most", zone, alone[0])
+            elif self.mirror.get(NODE + record["node"])[0] is not None or (
+                    time.time() - record["at"] > self.settings.cancel_s and not self.heard_by_nobody(block)):
+                value = None
+                log.info("zone %s is no longer left alone", zone)
+            else:
+                continue
+            self.mirror.write({LEADER: term, key: version}, [(key, value, None)], "lease")
+
     # Blocks
 
     def holder(self, block: str) -> str | None:
@@ -182,6 +242,10 @@
         if not self.mirror.loaded.is_set():
             return
         try:
+            if self.mirror.watched < self._renewed:
+                # Guards against a watch that died in the cut in which our lease ended, unnoticed until its time is
+                # over: a block that is given back to us would have nobody who acts on it meanwhile.
+                self.mirror.barrier(self.state.timeout, "claim")
             self._take_up()
             self._lead()
             self.formats.announce()
@@ -267,7 +331,9 @@
                 self.mirror.barrier(self.state.timeout, "claim")
                 return
             log.info("leader from revision %s on", revision)
-        if self.term is not None:
+        term = self.term
+        if term is not None:
+            self._keep_zones(term)
             self._share_out()
 
     def _share_out(self) -> None:
@@ -292,6 +358,9 @@
 
             if not nodes:
                 return
+            for name in nodes:
+                if block not in nodes[name].get("unheard", ()):
+                    self._unheard_since.pop((block, name), None)
             best = min(nodes, key=rank)
             if holder is None:
                 self._give(block, version, best, nodes, held, None)
@@ -299,7 +368,11 @@
                 unheard, abroad, load, _ = rank(holder)
                 better = rank(best)
                 settled = now - self._nodes_since[best] > self._lease_s
-                if (unheard and not better[0]) or (
+                # A zone that is left alone is asked by all at the same time: none takes it from another before it has
+                # had time to say what it hears.
+                told = self._unheard_since.setdefault((block, holder), now) if unheard else now
+                patient = self.left_alone(block) is not None and now - told < self._lease_s
+                if (unheard and not better[0] and not patient) or (
                         settled and not better[0] and (abroad and not better[1] or load - better[2] >= 2
                                                        and abroad == better[1])):
                     self._give(block, version, best, nodes, held, holder)
--- a/tidebend/protocol/__init__.py
+++ b/tidebend/protocol/__init__.py
@@ -35,7 +35,14 @@
     release,
     rent,
 )
-from tidebend.protocol.reports import PATH_REPORT, direct_commands, parse_report, report_answer, report_elsewhere
+from tidebend.protocol.reports import (
+    PATH_REPORT,
+    PATH_SHOW,
+    direct_commands,
+    parse_report,
+    report_answer,
+    report_elsewhere,
+)
 from tidebend.protocol.state import (
     PATH_LEASES,
     PATH_TRANSACTION,
@@ -54,9 +61,9 @@
 )
 
 __all__ = ["ID", "MOST_TASKS", "PATH_JOBS", "PATH_LEASES", "PATH_READY", "PATH_RELEASE", "PATH_RENT", "PATH_REPORT",
-           "PATH_TRANSACTION", "PATH_TYPES", "PRIORITIES", "RANKS", "SHAPES", "Command", "Invalid", "JobSpec",
-           "ListedMachine", "MachineType", "Report", "TaskReport", "Write", "changes_path", "direct_commands",
-           "is_job_id", "job_answer", "job_id", "key_path", "lease_path", "lease_request", "list_path",
-           "parse_awaits", "parse_changes", "parse_item", "parse_items", "parse_job", "parse_lease", "parse_listed",
-           "parse_rented", "parse_report", "parse_revision", "parse_types", "range_path", "release", "rent",
-           "report_answer", "report_elsewhere", "task_name", "transaction"]
+           "PATH_SHOW", "PATH_TRANSACTION", "PATH_TYPES", "PRIORITIES", "RANKS", "SHAPES", "Command", "Invalid",
+           "JobSpec", "ListedMachine", "MachineType", "Report", "TaskReport", "Write", "changes_path",
+           "direct_commands", "is_job_id", "job_answer", "job_id", "key_path", "lease_path", "lease_request",
+           "list_path", "parse_awaits", "parse_changes", "parse_item", "parse_items", "parse_job", "parse_lease",
+           "parse_listed", "parse_rented", "parse_report", "parse_revision", "parse_types", "range_path", "release",
+           "rent", "report_answer", "report_elsewhere", "task_name", "transaction"]
--- a/tidebend/protocol/reports.py
+++ b/tidebend/protocol/reports.py
@@ -12,6 +12,7 @@
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.\-]{0,150}\Z")
 TASK_STATES = ("fetching", "waiting", "running", "saving", "ended")
 PATH_REPORT = "/v1/report"
+PATH_SHOW = "/show"
 
 
 def parse_report(body: Any) -> Report:
--- a/tidebend/protocol/worker.py
+++ b/tidebend/protocol/worker.py
@@ -9,10 +9,9 @@
 
 import msgspec
 
-from tidebend.protocol import PATH_REPORT, Command
+from tidebend.protocol import PATH_REPORT, PATH_SHOW, Command
 
 PATH_DIRECT = "/orders"
-PATH_SHOW = "/show"
 ELSEWHERE = 421
 
 __all__ = ["ELSEWHERE", "PATH_DIRECT", "PATH_REPORT", "PATH_SHOW", "Answer", "Direct", "Task", "elsewhere",
--- a/tidebend/scheduling/pick.py
+++ b/tidebend/scheduling/pick.py
@@ -18,7 +18,7 @@
     """The machines on which some waiting task could start now."""
 
     def __init__(self, wants: list[Want], places: list[Place], now: float) -> None:
-        self._needs = [(want, need_of(want.spec)) for want in wants if want.not_before <= now]
+        self._needs = [(want, need_of(want.spec)) for want in wants if want.not_before <= now or want.moving]
         # most machines are full, and seen to be so by the least that any task needs
         self._least = min((need[0] for _, need in self._needs), default=math.inf)
         self.names = {place.name for place in places if self._any(place)}
@@ -158,6 +158,8 @@
     # borrows and has work waiting for so long that its standing reservations take all the room that comes free.
     # Borrowed work of a higher priority takes part on equal terms: guards against a pipeline's urgent steps that come
     # behind another team's arrays.
+    # Room is held with them for replicas that will have to leave a lost zone, by place-holders that lapse with the
+    # event as others do. Together, since the pick then gives a slot with an image at hand to whom it saves the fetch.
     run([want for want in wants if want.service])
     others = [want for want in wants if not want.service]
     promised = frozenset(want.job for want in others if is_owed(want))
--- a/tidebend/service/controller.py
+++ b/tidebend/service/controller.py
@@ -23,6 +23,7 @@
 from tidebend.service.shares import ShareMoves
 from tidebend.service.sizes import Sizes
 from tidebend.service.users import Users
+from tidebend.service.witness import Witness
 from tidebend.service.workers import Dispatcher, Workers
 from tidebend.settings import Settings
 from tidebend.storage import FINAL, Mirror, StateClient
@@ -56,12 +57,15 @@
                                self._types, self.dispatcher.send)
         self.link = PeerLink(settings, self.news, self.coordinator.told)
         self.dispatcher.coordinator, self.dispatcher.link = self.coordinator, self.link
+        self.coordinator.was_held = lambda node, block: block in self.link.peers[node].blocks
+        self.witness = Witness(settings, self.coordinator, self.link, self.fleet, connect)
         self.rentals = Rentals(settings, self.coordinator, self.link, self.book, self.fleet, self.ledger,
-                               self.planner, connect)
+                               self.planner, self.witness, connect)
         self.users = Users(settings, self.state, self.mirror, self.book, self.ledger, self.formats, self._types,
                            self.planner.wake)
         self.planner.look_up = self.users.look_up
-        self.workers = Workers(settings, self.state, self.book, self.fleet, self.coordinator, self.planner.wake)
+        self.workers = Workers(settings, self.state, self.book, self.fleet, self.coordinator, self.planner.wake,
+                               self.witness.came)
 
     def _types(self) -> dict[str, protocol.MachineType]:
         return self.rentals.types
@@ -145,6 +149,8 @@
         if self.settings.peers:
             self.link.start()
         self.dispatcher.start()
+        if self.settings.peers:
+            self.witness.start()
         self.planner.start()
         self.rentals.start()
 
--- a/tidebend/service/planner.py
+++ b/tidebend/service/planner.py
@@ -7,12 +7,13 @@
 import threading
 import time
 from collections.abc import Callable
+from functools import partial
 
 from tidebend.bookkeeping.book import JobBook
 from tidebend.bookkeeping.machines import Fleet
-from tidebend.coordination import Coordinator, block_of
+from tidebend.coordination import Coordinator, block_of, zone_of
 from tidebend.protocol import MachineType
-from tidebend.scheduling import Place, Placement, allowed_on, map_tasks, need_of, times_fit
+from tidebend.scheduling import Place, Placement, Want, allowed_on, map_tasks, need_of, times_fit
 from tidebend.service.claims import Claims
 from tidebend.service.ends import Ends
 from tidebend.service.estimates import Estimates
@@ -21,10 +22,11 @@
 from tidebend.service.reclaims import Reclaims
 from tidebend.service.room import Room
 from tidebend.service.shares import ShareMoves
-from tidebend.service.turns import Turns
+from tidebend.service.turns import Turns, order_of
 from tidebend.service.waiting import Waiting
 from tidebend.settings import Settings
 from tidebend.storage import Conflict, Unavailable, Unknown
+from tidebend.zones import part_of
 
 log = logging.getLogger("planner")
 
@@ -107,7 +109,8 @@
             self.claims.at.pop(name, None)
         # also while none of our machines can be used: shares of a zone that is cut off lie with whoever took its block
         self.reclaims.look(jobs.values(), now)
-        places = self.places.all(now, clock) if jobs else None
+        moving = self._moving(now, clock)
+        places = self.places.all(now, clock) if jobs or moving else None
         if not places:
             return
         at_hand: dict[str, list[Place]] = {}
@@ -137,7 +140,7 @@
             wants.append(want)
         longest = max((want.estimate for want in wants), default=0.0)
         horizon = self.settings.knobs.horizon * longest
-        placements = map_tasks(wants, [place for place, _, _ in places.values()], clock, horizon,
+        placements = map_tasks(wants + moving, [place for place, _, _ in places.values()], clock, horizon,
                                self.waiting.owed({want.spec.team for want in wants}))
         chosen: dict[str, list[Placement]] = {}
         for placement in placements:
@@ -145,3 +148,25 @@
                 chosen.setdefault(placement.job, []).append(placement)
         self.claims.claim(chosen, places)
         self.room.make([want for want in wants if want.waiting > 0], places, now, clock)
+
+    def _moving(self, now: float, clock: float) -> list[Want]:
+        """Replicas that will have to leave lost zones and for which it falls to our blocks to hold room.
+
+        Guards against services that are missed all at once when a cut lasts: they leave in turns, to room that is
+        ready.
+        """
+        lost = self.coordinator.lost_zones()
+        blocks = sorted(block for block in self.coordinator.table() if zone_of(block) not in lost)
+        if not lost or not blocks:
+            return []
+        mine = {grant.block for grant in self.coordinator.grants()}
+        found = []
+        for job in self.book.live():
+            if job.spec.kind != "service":
+                continue
+            order = order_of(job.id, blocks)
+            numbers = [order.index(block) for block in blocks if block in mine]
+            want = self.waiting.moving(job, lost, partial(part_of, numbers=numbers, of=len(blocks)), now, clock)
+            if want is not None:
+                found.append(want)
+        return found
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import math
 import random
 import threading
 import time
@@ -18,15 +17,17 @@
 from tidebend.bookkeeping.tasksets import members
 from tidebend.coordination import Coordinator, PeerLink, block_of
 from tidebend.protocol import Invalid, ListedMachine, MachineType
-from tidebend.provisioning import Capacity, Offer, to_rent
+from tidebend.provisioning import WRONG_BY, Capacity, Offer, to_rent
 from tidebend.scheduling import need_of
 from tidebend.service.ledger import Edit, Ledger
 from tidebend.service.listing import Listing
 from tidebend.service.planner import Planner
+from tidebend.service.witness import Witness
 from tidebend.settings import Settings
 from tidebend.storage import Unavailable, Unknown
 from tidebend.tenancy import Usage
 from tidebend.transport import Budget, HttpClient, NoAnswer, Unreachable
+from tidebend.zones import Hold, Standing, leave, order
 
 log = logging.getLogger("rentals")
 
@@ -37,6 +38,10 @@
 # Of the cloud's calls, all holders together take this share for giving back machines that are merely idle. They are
 # gathered meanwhile: in a large fleet some become idle each second, and a call for each left none for rentals.
 SPARE_SHARE = 0.25
+# a lost zone's machines are given up in turns that take no more than this share of the calls
+LEAVE_SHARE = 0.25
+# replicas begin to leave a lost zone this share of the time for which its controller may answer ahead of its end
+MOVE_AHEAD = 0.25
 # the cloud takes so many names in one release
 MOST_RELEASED = 100
 # a machine that nobody hears is given up after this share of the workers' lease
@@ -55,7 +60,8 @@
 
 class Rentals:
     def __init__(self, settings: Settings, coordinator: Coordinator, link: PeerLink, book: JobBook, fleet: Fleet,
-                 ledger: Ledger, planner: Planner, connect: Callable[..., HttpClient] = HttpClient) -> None:
+                 ledger: Ledger, planner: Planner, witness: Witness,
+                 connect: Callable[..., HttpClient] = HttpClient) -> None:
         self.settings = settings
         self.coordinator = coordinator
         self.link = link
@@ -63,6 +69,7 @@
         self.fleet = fleet
         self.ledger = ledger
         self.planner = planner
+        self.witness = witness
         self.types: dict[str, MachineType] = {}
         self._http = connect(settings.cloud, keep=2)
         # the leader rents and lists; every holder releases
@@ -76,6 +83,8 @@
         self._types_at = -1e9
         self.listing = Listing(self._call, settings.list_lag_s, settings.cloud_rps)
         self._spare_pause_s = settings.controllers / (SPARE_SHARE * settings.cloud_rps)
+        self._leave_pause_s = max(self._guard_pause_s, 1.0 / (LEAVE_SHARE * settings.cloud_rps))
+        self._leave_at = -1e9  # steady time of the next turn at which machines of a lost zone are given up
         self._spare_at = -1e9  # steady time from which idle machines may be given back again
         self._strangers: dict[str, float] = {}
         self._lead_since: tuple[int | None, float] = (None, 0.0)
@@ -146,10 +155,15 @@
             gone = {name for name in self.book.machines() if name in self.fleet.gone}
         if gone:
             self._bury(gone)  # a write that failed before
+        # Guards a controller that was cut off: what others gave back meanwhile it would take for silent, and once that
+        # is all it knows of its zone, for a zone that nobody hears.
+        told = {row[0] for peer in self.link.peers.values() for row in peer.machines or () if row[4]}
+        self.fleet.drop([machine.name for machine in self.fleet.all() if machine.name in told])
         grants = {grant.block: grant for grant in self.coordinator.grants()}
         foreign = [m.name for m in self.fleet.all() if block_of(m.zone) not in grants
                    and now - m.heard > self.settings.lease_s]
         self.fleet.drop(foreign)
+        self.witness.look()
         if not self.coordinator.lease_valid:
             return
         spare: list[Machine] = []
@@ -169,6 +183,10 @@
                                if now - max(m.heard, m.answered) > 0.6 * self.planner.places.suspect_s})
             silent.update({name: since for name, since in unseen.items()
                            if now - since > self.planner.places.suspect_s})
+            until = self._left_alone_until(block)
+            if until is not None and until > grant.since:
+                # asked by all, and heard by none: no silence of our own need be waited for
+                silent |= {m.name: grant.since for m in own if m.heard <= grant.since} | unseen
             total = len(own) + len(unseen)
             if silent and len(silent) == total and self.settings.peers:
                 self.coordinator.unheard(block, total, 2.0 * self.settings.lease_s)
@@ -189,48 +207,61 @@
     def _silent(self, block: str, silent: dict[str, float], total: int, now: float) -> None:
         """Release what is out of reach: only then its tasks may be started elsewhere."""
         # If most are silent the network is to blame rather than they, and they may go on working on their side.
-        unheard = self.coordinator.heard_by_nobody(block)
-        few = 2 * len(silent) <= max(total, 2) or unheard
+        few = 2 * len(silent) <= max(total, 2) or self.coordinator.heard_by_nobody(block)
         patience = self.settings.lease_s * (GIVEN_UP_AFTER if few else 2.0)
-        alone = self.coordinator.left_alone(block)
-        # Granted isn't held: a controller that was cut off before it learnt of its grant turns its workers away, and
-        # their tasks end with their leases. Its own news says what it holds.
-        if unheard and alone is not None and len(silent) == total and block in self.link.peers[alone[0]].blocks:
-            until = alone[1] + self.settings.answer_bound_s
-            if until > min(silent.values(), default=now):
-                self._move_out(silent, until, now)
-                return
+        until = self._left_alone_until(block)
+        if until is not None and len(silent) == total and until > min(silent.values(), default=now):
+            self._move_out(silent, until, now)
+            return
         doomed = []
         for name, since in silent.items():
             limit = min(patience, self.settings.lease_s) if self._any_cancelled(name) else patience
             if now - since > limit:
                 doomed.append(name)
         if doomed:
-            self.release(doomed[:MOST_RELEASED])
+            rows = sorted((self._standing(name, now) for name in doomed), key=order)
+            self.release([row.machine for row in rows[:MOST_RELEASED]])
+
+    def _left_alone_until(self, block: str) -> float | None:
+        """Until when a zone that nobody hears works on inside at the most (steady time); None: it doesn't.
+
+        Granted isn't held: a controller that was cut off before it learnt of its grant turns its workers away, and
+        their tasks end with their leases. Its own news says what it holds.
+        """
+        alone = self.coordinator.left_alone(block)
+        if alone is None or not self.coordinator.heard_by_nobody(block) or not self.coordinator.works_on(block):
+            return None
+        return alone[1] + self.settings.answer_bound_s
 
     def _any_cancelled(self, name: str) -> bool:
         return any(job.cancelled for job, _ in self.book.on_machine(name))
 
     def _move_out(self, silent: dict[str, float], until: float, now: float) -> None:
-        """A zone that is cut off works on inside until its controller may answer no more.
-
-        Until then nothing there is lost, and the cut may end. But once it has ended its tasks all at once, the zone's
-        replicas would be missed all at once: so, in the second half of that time, they are moved out one by one, and
-        what remains goes at its end; but a gang's machine is waited for longer, by a share of what another would take
-        to boot and fetch, since it still has the image when the cut ends.
-        """
-        lease_s = self.settings.lease_s
+        """What stands in a zone that works on inside is given up in the order of `zones.leave`."""
+        # the last answered report was sent up to a report's interval before, and a lease counts from there
+        end = until + self.settings.lease_s - 1.25 * self.settings.report_s
+        hold = Hold(until - MOVE_AHEAD * self.settings.answer_bound_s, until, end)
         doomed = [name for name, since in silent.items()
-                  if (now > until + self._worth_waiting_s(name) and now - since > GIVEN_UP_AFTER * lease_s)
-                  or (now - since > lease_s and self._any_cancelled(name))]
-        serving = sorted(name for name in silent if name not in doomed
-                         and any(job.spec.kind == "service" for job, _ in self.book.on_machine(name)))
-        begin = until - 0.5 * self.settings.answer_bound_s
-        if serving and not doomed and now > begin:
-            ticks = max(1.0, (until - now) / self._guard_pause_s)
-            doomed = serving[:math.ceil(len(serving) / ticks)]
+                  if now - since > self.settings.lease_s and self._any_cancelled(name)]
+        if now >= self._leave_at:
+            self._leave_at = now + self._leave_pause_s
+            doomed += leave([self._standing(name, now) for name in silent], hold, now, self._leave_pause_s)
         if doomed:
-            self.release(doomed[:MOST_RELEASED])
+            self.release(list(dict.fromkeys(doomed))[:MOST_RELEASED])
+
+    def _standing(self, name: str, now: float) -> Standing:
+        replicas, ends = 0, []
+        clock = time.time()
+        with self.fleet.lock:
+            machine = self.fleet.machines.get(name)
+        for job, claim in self.book.on_machine(name):
+            if job.spec.kind == "service":
+                replicas += claim.tasks.bit_count()
+                continue
+            kind = self.types.get(machine.type) if machine is not None else None
+            fetch_s = kind.fetch_s(job.spec.image_gb) if kind is not None else 0.0
+            ends.append(now - (clock - claim.at) + fetch_s + WRONG_BY * self.planner.estimates.corrected(job.spec))
+        return Standing(name, replicas, tuple(ends), self._worth_waiting_s(name))
 
     def _worth_waiting_s(self, name: str) -> float:
         jobs = [job for job, _ in self.book.on_machine(name)]
@@ -388,8 +419,7 @@
         # what is rented in a zone that nobody hears can't be used, nor what stands there
         cut = {zone for zone in self.settings.zones if self.coordinator.heard_by_nobody(block_of(zone))}
         capacities = []
-        for name in sorted(set(self._known) | set(heard)):
-            known = heard.get(name) or self._known[name]
+        for name, known in sorted({**self._known, **heard}.items()):
             kind = self.types.get(known.type)
             if kind is None or name in late or name in gone or known.zone in cut:
                 continue
--- a/tidebend/service/waiting.py
+++ b/tidebend/service/waiting.py
@@ -17,6 +17,10 @@
 from tidebend.service.estimates import Estimates
 from tidebend.settings import Settings
 from tidebend.tenancy import Usage
+from tidebend.zones import without
+
+# what is placed a moment from now holds its slot for the rest of the event, and doesn't start
+SOON_S = 0.001
 
 
 class Waiting:
@@ -114,6 +118,17 @@
                     job.since + self.settings.start_aims.get(spec.job_class, math.inf),
                     spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()))
 
+    def moving(self, job: Job, lost: set[str], ours: Callable[[int], int], now: float, clock: float) -> Want | None:
+        """A service's replicas in lost zones, for which room is held elsewhere; `ours`: for how many of so many it is
+        we who hold it."""
+        left = without(job, lost) if job.spec.kind == "service" and not job.cancelled else None
+        want = None if left is None else self.want(left, now, clock)
+        if want is None:
+            return None
+        tasks = ours(left.pending.bit_count() - job.pending.bit_count())
+        # where they stand they count for the team's limit already, which has room for them therefore
+        return replace(want, waiting=tasks, headroom=tasks, not_before=clock + SOON_S, moving=True) if tasks else None
+
     def owed(self, teams: Iterable[str]) -> dict[str, Owed]:
         """What these teams have still to get of their guarantees, over all zones."""
         found = {}
--- a/tidebend/service/workers.py
+++ b/tidebend/service/workers.py
@@ -32,8 +32,10 @@
 
 class Workers:
     def __init__(self, settings: Settings, state: StateClient, book: JobBook, fleet: Fleet,
-                 coordinator: Coordinator, wake: Callable[[], None]) -> None:
+                 coordinator: Coordinator, wake: Callable[[], None],
+                 came: Callable[[str], None]) -> None:
         self.settings = settings
+        self.came = came
         self.state = state
         self.book = book
         self.fleet = fleet
@@ -46,6 +48,7 @@
         except Invalid as error:
             return Reply(400, {"error": str(error)})
         block = block_of(report.zone)
+        self.came(block)
         grant = self.coordinator.grant(block)
         if grant is not None and report.token > grant.token:
             self.coordinator.deposed(block, report.token)
--- a/tidebend/storage/mirror.py
+++ b/tidebend/storage/mirror.py
@@ -31,6 +31,7 @@
         self.state = state
         self.lock = lock
         self.loaded = threading.Event()
+        self.watched = -1e9  # steady time at which the watch last brought an answer
         self._on_change = on_change
         self._watch_s = watch_s
         self._items: dict[str, tuple[Any, int]] = {}
@@ -134,6 +135,7 @@
         while True:
             try:
                 self.catch_up(self._watch_s, "claim")
+                self.watched = time.monotonic()
                 time.sleep(self.state.watch_pause_s)
             except (Unavailable, Unknown) as error:
                 log.info("watch: %s", error)
