Lost zones are told by one look through the cache at each mapping event, not one for each zone

Found on rereading: lost_zones is asked at every mapping event and went through all cached keys once for each zone. Behaviour is the same; the zone, guard, start and cut tests pass.

--- a/tidebend/coordination/coordinator.py
+++ b/tidebend/coordination/coordinator.py
@@ -117,11 +117,15 @@
 
     def heard_by_nobody(self, block: str) -> bool:
         """Whether every live controller has tried and hears none of the block's machines."""
-        return all(block in value.get("unheard", ()) for value, _ in self.mirror.under(NODE).values())
+        return all(block in unheard for unheard in self._unheard_by_node())
+
+    def _unheard_by_node(self) -> list[list[str]]:
+        return [value.get("unheard", ()) for value, _ in self.mirror.under(NODE).values()]
 
     def lost_zones(self) -> set[str]:
         """The zones that nobody hears."""
-        return {zone for zone in self.settings.zones if self.heard_by_nobody(block_of(zone))}
+        nodes = self._unheard_by_node()  # one look through the cache, at each mapping event
+        return {zone for zone in self.settings.zones if all(block_of(zone) in unheard for unheard in nodes)}
 
     def doubtful(self, block: str, silent: Callable[[str], bool]) -> bool:
         """Whether the block's zone may be cut off: its own controller is gone, or `silent` says that it doesn't
