Polls share reads that begin a pause apart; a lease refused for others' requests is tried again at once

From 320 s on 440 small jobs are polled every 5 s, each poll's read went off by itself, and the three controllers together asked for more than the state service takes: 9,646 of 44,024 requests refused, 9,779 answers of 503 to users, renewals of our own leases refused (`lease: over budget`), claims late. Change: reads for polls alone begin a pause apart (a fifth of the service's requests, all controllers together) and are joined by all that come meanwhile; a claim doesn't wait for them. A lease's renewal refused for the rate is tried again at once. The tests fail without it.

--- /dev/null
+++ b/tests/test_polls.py
@@ -0,0 +1,86 @@
+"""A flood of questions: reads are joined and bounded, and our lease comes first."""
+
+import threading
+import time
+
+import pytest
+
+from tidebend.settings import Limits
+from tidebend.storage import Mirror, StateClient
+
+LIMITS = Limits(rps=60.0, write_rps=15.0, value_bytes=8192, txn_ops=12)
+
+
+class Counted:
+    """A state service that answers reads at once and counts them."""
+
+    poll_pause_s = 0.2
+
+    def __init__(self):
+        self.reads = []
+
+    def items(self, prefix, after):
+        return [], False, 1
+
+    def changes(self, prefix, revision, wait_s, kind):
+        self.reads.append((time.monotonic(), kind))
+        return [], 1
+
+
+@pytest.fixture
+def mirror():
+    made = Mirror(Counted(), lambda *row: None, threading.RLock(), 1.0)
+    made.catch_up(0.0, "claim")
+    threading.Thread(target=made._reader, daemon=True).start()
+    return made
+
+
+def test_polls_share_reads_that_begin_a_pause_apart_and_all_are_answered(mirror):
+    """Each poll's read went off by itself: what the state service has was gone before leases were renewed."""
+    answers = []
+
+    def users():
+        for _ in range(10):
+            answers.append(mirror.barrier(1.2))
+            time.sleep(0.02)
+
+    threads = [threading.Thread(target=users) for _ in range(20)]
+    began = time.monotonic()
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    spent = time.monotonic() - began
+    assert len(answers) == 200 and all(answers)
+    assert len(mirror.state.reads) <= spent / mirror.state.poll_pause_s + 2
+
+
+def test_a_claim_does_not_wait_for_the_polls_next_read(mirror):
+    assert mirror.barrier(1.2)
+    poll = threading.Thread(target=mirror.barrier, args=(1.2,))
+    poll.start()
+    began = time.monotonic()
+    assert mirror.barrier(1.2, "claim")
+    assert time.monotonic() - began < 0.5 * mirror.state.poll_pause_s
+    poll.join()
+    assert [kind for _, kind in mirror.state.reads] == ["poll", "claim"]  # the poll has joined the claim's
+
+
+class Refusing:
+    """Refuses the first requests, as a service does whose limit the others have used up."""
+
+    def __init__(self, address, keep):
+        self.left = 3
+
+    def request(self, method, path, body, timeout):
+        self.left -= 1
+        return (429, {}) if self.left >= 0 else (200, {"mooring": 7})
+
+
+def test_a_lease_is_renewed_though_others_have_used_up_the_second():
+    """It was tried again after a quarter of a controller's lease at the most, and ended after four refusals."""
+    client = StateClient(("state", 1), LIMITS, 3, 0.9, connect=Refusing)
+    began = time.monotonic()
+    assert client.grant_lease(3.5) == 7
+    assert client.extend_lease(7)
+    assert time.monotonic() - began < 0.5
--- a/tidebend/storage/client.py
+++ b/tidebend/storage/client.py
@@ -24,6 +24,8 @@
 SUBMIT_SHARE = 0.5
 # watches take no more than this share of the service's requests: changes that follow closely are read together
 WATCH_SHARE = 0.25
+# ... and reads for users' polls alone no more than this
+POLL_SHARE = 0.2
 
 
 class StateClient:
@@ -37,10 +39,17 @@
         self._requests = Budget(limits.rps * self._share)
         self._writes = Budget(limits.write_rps * self._share)
         self._submissions = Budget(SUBMIT_SHARE * self.writes_per_s)
-        self.watch_pause_s = controllers / (WATCH_SHARE * limits.rps)
+        self._pauses(limits)
         self.timeout = timeout
+        # Guards our lease against the others' requests: together they may take more than the service has, and what
+        # it refuses for that is tried again at once.
+        self._lease_patience_s = 0.5 * timeout
         self.last_contact = -1e9  # steady time at which the last answered request was sent
 
+    def _pauses(self, limits: Limits) -> None:
+        self.watch_pause_s = self._controllers / (WATCH_SHARE * limits.rps)
+        self.poll_pause_s = self._controllers / (POLL_SHARE * limits.rps)
+
     @property
     def writes_per_s(self) -> float:
         return self._writes.rate
@@ -49,7 +58,7 @@
         self._requests.change(limits.rps * self._share)
         self._writes.change(limits.write_rps * self._share)
         self._submissions.change(SUBMIT_SHARE * self.writes_per_s)
-        self.watch_pause_s = self._controllers / (WATCH_SHARE * limits.rps)
+        self._pauses(limits)
 
     def _call(self, method: str, path: str, body: Any, kind: str, writes: int = 0, timeout: float = 0.0,
               patience: float = 0.0) -> tuple[int, Any]:
@@ -138,7 +147,8 @@
             raise Unknown(str(error)) from error
 
     def grant_lease(self, seconds: float) -> int:
-        status, answer = self._call("POST", protocol.PATH_LEASES, protocol.lease_request(seconds), "lease")
+        status, answer = self._call("POST", protocol.PATH_LEASES, protocol.lease_request(seconds), "lease",
+                                    patience=self._lease_patience_s)
         if status != 200:
             raise Unknown(f"unexpected status {status}")
         try:
@@ -148,7 +158,8 @@
 
     def extend_lease(self, lease: int) -> bool:
         """False if the lease has ended."""
-        status, _ = self._call("POST", protocol.lease_path(lease, "/extend"), None, "lease")
+        status, _ = self._call("POST", protocol.lease_path(lease, "/extend"), None, "lease",
+                               patience=self._lease_patience_s)
         if status == 404:
             return False
         if status != 200:
--- a/tidebend/storage/mirror.py
+++ b/tidebend/storage/mirror.py
@@ -142,13 +142,23 @@
                 time.sleep(random.uniform(0.05, 0.15) * self._watch_s)
 
     def _reader(self) -> None:
+        """Reads on demand, one at a time, each for all that wait when it begins.
+
+        What only polls wait for begins no sooner than a pause after the last one, and joins all that come meanwhile.
+        Guards against users who ask often: each poll's read went off by itself, and together they took what the
+        service has for leases, claims and submissions.
+        """
+        poll_at = -1e9  # steady time from which a read for polls alone may begin
         while True:
             with self._read:
                 while self._wanted <= self._begun:
                     self._read.wait()
+                while self._kind == "poll" and (left := poll_at - time.monotonic()) > 0:
+                    self._read.wait(left)
                 self._begun += 1
                 number = self._begun
                 kind, self._kind = self._kind, "poll"
+            poll_at = time.monotonic() + self.state.poll_pause_s
             try:
                 self.catch_up(0.0, kind)
                 fine = True
