Scenarios of one-way machines, late copies of reports, a controller left with its workers, frozen controllers

The lab's world can now lose what goes to a machine (deaf) or what comes from it (mute), deliver reports again much later at one or all controllers (copies), and freeze.

--- a/lab/links.py
+++ b/lab/links.py
@@ -35,3 +35,13 @@
     until: float
     hold: bool
     held: list = field(default_factory=list)
+
+
+@dataclass
+class Copies:
+    """Reports that are delivered a second time; a copy's answer reaches nobody."""
+
+    machine: str | None  # None: of all machines
+    until: float  # reports sent before this are copied
+    late_s: float
+    everywhere: bool  # at all controllers, not only at the one it was sent to
--- a/lab/world.py
+++ b/lab/world.py
@@ -46,6 +46,10 @@
         self.objectives = objectives or [{"kind": "deadline", "class": "c", "share": 0.9, "times": times}
                                          for times in (1.5, 1.0)]
         self.frozen = {}  # controller -> until
+        self.deaf = {}  # machine -> until: its reports arrive, answers and commands don't reach it
+        self.mute = {}  # machine -> until: commands reach it and are answered, its reports don't arrive
+        self.copies = []  # what is copied; see Copies
+        self.late = []  # copies under way: (when, controller, report)
         self.saved = {}  # task, or gang -> seconds of progress that are safe
         self.lost = Counter()  # job -> seconds of work that were lost
         self.starts, self.stops = Counter(), Counter()  # job -> starts executed, tasks that left without being done
@@ -95,6 +99,8 @@
             worker = self.workers.get(f"vm-{int(address[0].rpartition('.')[2]):06d}")
             if worker is None:
                 raise version.unreachable("no such host")
+            if self.now < self.deaf.get(worker.name, -1.0):
+                raise version.no_answer("nothing comes back")
             side, zone, target = "workers", worker.zone, lambda: worker.direct(method, path, body)
         cut = self.cut_between(node, side, zone)
         if cut is not None:
@@ -114,13 +120,35 @@
         if (controller is None or self.now < self.frozen.get(node, -1.0)
                 or self.cut_between(node, "workers" if machine else "users", zone)):
             return None
+        if machine and self.now < self.mute.get(machine, -1.0):
+            return None
         raw = json.dumps(body).encode()
+        if machine:
+            self.copy(machine, node, body)
         try:
             reply = controller.route(method, path, lambda: raw)
         except self.versions[node].reply as thrown:
             reply = thrown
+        if machine and self.now < self.deaf.get(machine, -1.0):
+            return None
         return reply.status, json.loads(json.dumps(reply.body))
 
+    def copy(self, machine, node, report):
+        for row in self.copies:
+            if self.now < row.until and row.machine in (None, machine):
+                self.late += [(self.now + row.late_s, to, report)
+                              for to in (self.nodes if row.everywhere else [node])]
+
+    def deliver_copies(self):
+        due = [row for row in self.late if row[0] <= self.now]
+        self.late = [row for row in self.late if row[0] > self.now]
+        for _, node, report in due:
+            controller = self.controllers.get(node)
+            if controller is not None and self.now >= self.frozen.get(node, -1.0):
+                raw = json.dumps(report).encode()
+                with contextlib.suppress(self.versions[node].reply):
+                    controller.route("POST", "/v1/report", lambda raw=raw: raw)
+
     def complete(self, job, index):
         if self.completed.setdefault(f"{job}/{index}", self.now) == self.now:
             self.done_tasks[job] = sum(1 for n in range(self.jobs[job]["pieces"]) if f"{job}/{n}" in self.completed)
@@ -261,6 +289,7 @@
             self.cuts.remove(cut)
             for request in cut.held:
                 request()  # delivered late, in order
+        self.deliver_copies()
         self.state.step()
         self.cloud.step()
         for number, node in enumerate(self.nodes):
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -11,7 +11,7 @@
 import pytest
 
 from lab.checker import breaches
-from lab.links import Cut
+from lab.links import Copies, Cut
 from lab.versions import production
 from lab.world import World
 
@@ -133,6 +133,15 @@
             world.workers[rest[0]].notice = world.now + float(rest[1])
         elif what == "hang":
             world.workers[rest[0]].hung_until = world.now + float(rest[1])
+        elif what == "deaf":  # MACHINE SECONDS: its reports arrive, answers and commands don't reach it
+            world.deaf[rest[0]] = world.now + float(rest[1])
+        elif what == "mute":  # MACHINE SECONDS: commands reach it, its reports don't arrive
+            world.mute[rest[0]] = world.now + float(rest[1])
+        elif what == "copies":  # MACHINE|all SECONDS DELAY [everywhere]: its reports come again so much later
+            world.copies.append(Copies(None if rest[0] == "all" else rest[0], world.now + float(rest[1]),
+                                       float(rest[2]), "everywhere" in rest))
+        elif what == "freeze":  # NODE SECONDS: stands still while its clocks run on
+            world.frozen[rest[0]] = world.now + float(rest[1])
         elif what == "sick":
             world.workers[rest[0]].sick_until = world.now + float(rest[1])
         elif what == "never_up":
@@ -145,6 +154,18 @@
     return next((row[5] for row in reversed(world.log) if row[1] == "told" and row[3] == job and row[5]), None)
 
 
+def down_s(world, job):
+    """Seconds that a job's tasks weren't on machines, from the time each was first there, added up."""
+    off, total = {}, 0.0
+    for row in world.log:
+        if row[1] in ("on", "off") and row[2].partition("/")[0] == job:
+            if row[1] == "off":
+                off[row[2]] = row[0]
+            elif row[2] in off:
+                total += row[0] - off.pop(row[2])
+    return total + sum(world.now - at for at in off.values())
+
+
 def holds(world, words):
     what, rest = words[0], words[1:]
     if what in ("done", "withdrawn", "running", "queued"):
@@ -169,6 +190,8 @@
         return world.cloud.rented <= int(rest[1]) if rest[0] == "at_most" else world.cloud.rented >= int(rest[1])
     if what == "machines":  # at_most N left
         return sum(1 for row in world.cloud.machines.values() if row.gone_at is None) <= int(rest[1])
+    if what == "missed":  # JOB SECONDS: its replicas, each from its first start on, for so long at the most in all
+        return down_s(world, rest[0]) <= float(rest[1])
     if what == "gone":
         return world.cloud.machines[rest[0]].gone_at is not None
     if what == "kept":
