Claims of teams without a limit compare a record that never changes: holders no longer collide over it

Cause: a guest without a limit kept the common team record, which each of its claims and each end of a job wrote. Change: such a team gets shares as limited ones have; nothing is ever raised or lowered in them. Shares are raised to what is used where that is more, so that a limit that a team hasn't had before counts what it uses in every zone. Both tests fail without it.

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -46,9 +46,9 @@
     yield from begun()
 
 
-def begun():
+def begun(teams=TEAMS):
     random.seed(1)
-    made = World(1, ["north", "south"], TEAMS, TYPES)
+    made = World(1, ["north", "south"], teams, TYPES)
     for zone in made.zones:
         made.cloud.add("box", zone, False, -50.0)
     with made.clock():
--- a/tests/test_tenancy.py
+++ b/tests/test_tenancy.py
@@ -1,8 +1,19 @@
 """Limits and guarantees between holders: shares that move, ends that make room, room that is owed."""
 
+from dataclasses import replace
+
 import pytest
 
-from tests.test_guards import claim_in, shared, spec, stale_pair, transactions_lost, world  # noqa: F401 (a fixture)
+from tests.test_guards import (  # noqa: F401 (a fixture)
+    TEAMS,
+    begun,
+    claim_in,
+    shared,
+    spec,
+    stale_pair,
+    transactions_lost,
+    world,
+)
 from tests.test_scheduling import place, want
 from tidebend.bookkeeping.claims import Claim
 from tidebend.scheduling import Owed, map_tasks
@@ -70,6 +81,32 @@
     assert world.state.items["tidebend/live/quota/team"][0]["north"][0] >= 2.0
 
 
+@pytest.fixture
+def boundless():
+    yield from begun([{**TEAMS[0], "cpus_max": 0.0}])
+
+
+def test_claims_of_a_team_without_a_limit_do_not_collide(boundless):
+    """A guest's 25,000 small tasks: each claim wrote the team's record, and a third of them met another holder's."""
+    first, second = shared(boundless)
+    before = boundless.state.counts["conflicts"]
+    for tasks in (0b1, 0b10, 0b11111100):
+        assert claim_in(first, "north", "a", tasks) is not None
+        assert claim_in(second, "south", "b", tasks) is not None
+    assert boundless.state.counts["conflicts"] == before
+
+
+def test_a_limit_that_a_team_has_not_had_before_counts_what_it_uses_elsewhere(boundless):
+    first, second = shared(boundless)
+    assert claim_in(first, "north", "a", 0b111111) is not None
+    for controller in (first, second):
+        controller.settings.teams["team"] = replace(controller.settings.teams["team"], cpus_max=8.0)
+        controller.mirror.catch_up(0.0, "claim")
+    first.shares.share_out()  # the leader's
+    assert claim_in(second, "south", "b", 0b111) is None
+    assert claim_in(second, "south", "b", 0b11) is not None
+
+
 def test_a_gang_that_needs_more_than_is_free_has_shares_given_back(world):  # noqa: F811
     first, _ = stale_pair(world, g=spec(shape="group", pieces=6, vcpus=1.0))
     reclaims, job = first.planner.reclaims, first.book.get("g")
--- a/tidebend/service/shares.py
+++ b/tidebend/service/shares.py
@@ -80,11 +80,17 @@
                 del self._doubtful[team]
 
     def share_out(self) -> None:
-        """Give limited teams shares instead of a common record, from what they use: once, when all can read them."""
+        """Give teams shares instead of a common record, from what they use: once, when all can read them.
+
+        Teams without a limit too: their claims then compare a record that never changes. Guards against holders that
+        collide over the common record of a team whose jobs are many and small, for nothing.
+        """
         if not self.formats.pipelines:
             return
         for team in self.settings.teams.values():
-            if (team.cpus_max is None and team.gpus_max is None) or self.book.has_shares(team.name):
+            if self.book.has_shares(team.name):
+                if team.cpus_max is not None or team.gpus_max is not None:
+                    self._catch_up(team.name)
                 continue
             with self.book.lock:
                 usage = self.book.team(team.name)
@@ -94,6 +100,24 @@
                 [(TEAM + team.name, SPENT, None), (QUOTA + team.name, Shares(0, used).pack(), None)])
             log.info("team %s has shares of its limit in each zone from now on", team.name)
 
+    def _catch_up(self, team: str) -> None:
+        """Raise recorded shares to what is used: it can be more only where claims were made under another limit.
+
+        Guards a limit that a team hasn't had before: what other zones use would count for less than it is.
+        """
+        with self.book.lock:
+            shares = self.book.team(team).shares
+            used = {zone: self.book.used(team, (zone,)) for zone in self.settings.zones}
+        if shares is None:
+            return
+        have = shares.zones
+        most = {zone: tuple(map(max, have.get(zone, (0.0, 0.0)), used.get(zone, (0.0, 0.0))))
+                for zone in have.keys() | used.keys()}
+        if any(amount > before + 1e-6 for zone, row in most.items()
+               for amount, before in zip(row, have.get(zone, (0.0, 0.0)), strict=True)):
+            self.mirror.write({QUOTA + team: shares.version}, [(QUOTA + team, Shares(0, most).pack(), None)])
+            log.info("team %s uses more than its shares: they are raised to it", team)
+
     def give_back(self, team: str) -> bool:
         """Lower a team's shares in our zones to what is used there; True if that gave others more room."""
         held = self.held()
