Shares are compared with what is used only in what is limited

The step that raises shares to what is used compared GPUs too, so the leader wrote the team's shares some twenty times a minute, and claims collided over them. Change: only limited amounts are compared, by the function that claims use.

--- a/tidebend/service/shares.py
+++ b/tidebend/service/shares.py
@@ -9,9 +9,9 @@
 from tidebend.bookkeeping.book import JobBook
 from tidebend.coordination.formats import FORMAT, Formats
 from tidebend.protocol import Write
-from tidebend.settings import Settings
+from tidebend.settings import Settings, Team
 from tidebend.storage import Conflict, Mirror, Unavailable, Unknown
-from tidebend.tenancy import QUOTA, SPENT, TEAM, Amounts, Shares, lowered, raised
+from tidebend.tenancy import QUOTA, SPENT, TEAM, Amounts, Shares, lowered, raised, within
 
 log = logging.getLogger("ledger")
 
@@ -90,7 +90,7 @@
         for team in self.settings.teams.values():
             if self.book.has_shares(team.name):
                 if team.cpus_max is not None or team.gpus_max is not None:
-                    self._catch_up(team.name)
+                    self._catch_up(team)
                 continue
             with self.book.lock:
                 usage = self.book.team(team.name)
@@ -100,23 +100,20 @@
                 [(TEAM + team.name, SPENT, None), (QUOTA + team.name, Shares(0, used).pack(), None)])
             log.info("team %s has shares of its limit in each zone from now on", team.name)
 
-    def _catch_up(self, team: str) -> None:
+    def _catch_up(self, limit: Team) -> None:
         """Raise recorded shares to what is used: it can be more only where claims were made under another limit.
 
         Guards a limit that a team hasn't had before: what other zones use would count for less than it is.
         """
         with self.book.lock:
-            shares = self.book.team(team).shares
-            used = {zone: self.book.used(team, (zone,)) for zone in self.settings.zones}
-        if shares is None:
+            shares = self.book.team(limit.name).shares
+            used = {zone: self.book.used(limit.name, (zone,)) for zone in self.settings.zones}
+        if shares is None or all(within(row, shares.zones.get(zone, (0.0, 0.0)), limit) for zone, row in used.items()):
             return
-        have = shares.zones
-        most = {zone: tuple(map(max, have.get(zone, (0.0, 0.0)), used.get(zone, (0.0, 0.0))))
-                for zone in have.keys() | used.keys()}
-        if any(amount > before + 1e-6 for zone, row in most.items()
-               for amount, before in zip(row, have.get(zone, (0.0, 0.0)), strict=True)):
-            self.mirror.write({QUOTA + team: shares.version}, [(QUOTA + team, Shares(0, most).pack(), None)])
-            log.info("team %s uses more than its shares: they are raised to it", team)
+        most = {zone: tuple(map(max, shares.zones.get(zone, (0.0, 0.0)), used.get(zone, (0.0, 0.0))))
+                for zone in shares.zones.keys() | used.keys()}
+        self.mirror.write({QUOTA + limit.name: shares.version}, [(QUOTA + limit.name, Shares(0, most).pack(), None)])
+        log.info("team %s uses more than its shares: they are raised to it", limit.name)
 
     def give_back(self, team: str) -> bool:
         """Lower a team's shares in our zones to what is used there; True if that gave others more room."""
--- a/tidebend/tenancy/__init__.py
+++ b/tidebend/tenancy/__init__.py
@@ -2,7 +2,7 @@
 
 from tidebend.tenancy.accounts import Accounts
 from tidebend.tenancy.records import QUOTA, SPENT, TEAM, Amounts, amount
-from tidebend.tenancy.shares import Shares, lowered, raised
+from tidebend.tenancy.shares import Shares, lowered, raised, within
 from tidebend.tenancy.usage import Usage
 
-__all__ = ["QUOTA", "SPENT", "TEAM", "Accounts", "Amounts", "Shares", "Usage", "amount", "lowered", "raised"]
+__all__ = ["QUOTA", "SPENT", "TEAM", "Accounts", "Amounts", "Shares", "Usage", "amount", "lowered", "raised", "within"]
--- a/tidebend/tenancy/shares.py
+++ b/tidebend/tenancy/shares.py
@@ -32,7 +32,8 @@
         return {zone: [amount(row[0]), amount(row[1])] for zone, row in self.zones.items()}
 
 
-def _within(need: Amounts, share: Amounts, limit: Team) -> bool:
+def within(need: Amounts, share: Amounts, limit: Team) -> bool:
+    """Whether a need keeps to a share, in what is limited at all."""
     return (limit.cpus_max is None or need[0] <= share[0] + 1e-6) and (
         limit.gpus_max is None or need[1] <= share[1] + 1e-6)
 
@@ -45,7 +46,7 @@
     claiming holder's own, the claims included; `every`: how many zones there are.
     """
     have = (0.0, 0.0)
-    if all(_within(needs[zone], zones.get(zone, have), limit) for zone in grown):
+    if all(within(needs[zone], zones.get(zone, have), limit) for zone in grown):
         return zones
     # what lies unused in our own zones serves first, then what is free; a part of that is taken ahead
     zones = {**zones, **needs}
