A job that fails wherever it is tried is tried one task at a time, ever less often, and nothing is rented for it

Cause: jobs submitted with a mistake fail on every machine until they are cancelled. Change: failed on three machines, none of its tasks done and none running for longer than failed ones did: one task at a time, after 2 to 20 s (two leases), not on machines where it has just failed. Controllers tell each other of such jobs.

--- a/lab/workers.py
+++ b/lab/workers.py
@@ -93,6 +93,8 @@
                 self.event("on", key, task)
             elif task.state == "waiting" and self.world.gang_is_whole(key, task.attempt):
                 task.state, task.since = "running", now
+            elif task.state == "running" and now - task.since >= spec.get("fails_s", 1e9):  # submitted with a mistake
+                self.finish(key, "error")
             elif task.state == "running" and spec["shape"] != "service" and self.ran(key, task) >= spec["run_s"]:
                 job = key.partition("/")[0]
                 for index in range(spec["pieces"]) if spec["shape"] == "group" else (key.partition("/")[2],):
--- a/lab/world.py
+++ b/lab/world.py
@@ -182,7 +182,7 @@
         if action == "submit":
             spec = body or self.jobs[name]
             answer = self.to_controller(None, node, "POST", "/api/jobs",
-                                        {key: value for key, value in spec.items() if key != "run_s"})
+                                        {key: value for key, value in spec.items() if key not in ("run_s", "fails_s")})
         elif action == "poll":
             answer = self.to_controller(None, node, "GET", f"/api/jobs/{name}", None)
         else:
--- a/tidebend/coordination/peers.py
+++ b/tidebend/coordination/peers.py
@@ -25,6 +25,8 @@
     state_contact: float = -1e9  # time of day of its last contact with the state service
     machines: list[list[Any]] | None = None
     blocks: frozenset[str] = frozenset()  # those it holds
+    # what the version in production doesn't tell:
+    at_fault: frozenset[str] = frozenset()  # jobs that failed wherever it tried them
 
 
 class PeerLink:
@@ -54,11 +56,18 @@
             news.state_contact = float(frame["state_contact"])
             news.machines = list(frame["machines"])
             news.blocks = frozenset(frame["held"])
+            news.at_fault = frozenset(frame.get("at_fault", ()))
             news.at = time.monotonic()
             self._told(frame["blocks"])
         except (KeyError, TypeError, ValueError) as error:
             log.error("peer frame: %r", error)
 
+    def at_fault(self) -> frozenset[str]:
+        """Jobs that failed wherever some other controller tried them, by news that is no older than a lease."""
+        now = time.monotonic()
+        return frozenset().union(*(peer.at_fault for peer in self.peers.values()
+                                   if now - peer.at < self.settings.lease_s))
+
     def _send(self, peer: Peer) -> None:
         stream: socket.socket | None = None
         while True:
--- a/tidebend/service/controller.py
+++ b/tidebend/service/controller.py
@@ -57,6 +57,7 @@
                                self._types, self.dispatcher.send)
         self.link = PeerLink(settings, self.news, self.coordinator.told)
         self.dispatcher.coordinator, self.dispatcher.link = self.coordinator, self.link
+        self.planner.ends.others_find_at_fault = self.link.at_fault
         self.coordinator.was_held = lambda node, block: block in self.link.peers[node].blocks
         self.witness = Witness(settings, self.coordinator, self.link, self.fleet, connect)
         self.rentals = Rentals(settings, self.coordinator, self.link, self.book, self.fleet, self.ledger,
@@ -91,8 +92,11 @@
                     for m in self.fleet.all()
                     if not m.draining and not m.releasing and self.coordinator.grant(block_of(m.zone))]
         machines += [[name, "", "", 0, 1, "", 0, 0] for name in list(self.rentals.gone_news)]
-        return {"from": self.settings.name, "state_contact": self._contact(), "machines": machines,
-                "held": [grant.block for grant in self.coordinator.grants()], "blocks": self.coordinator.table()}
+        frame = {"from": self.settings.name, "state_contact": self._contact(), "machines": machines,
+                 "held": [grant.block for grant in self.coordinator.grants()], "blocks": self.coordinator.table()}
+        if self.formats.pipelines:
+            frame.update(at_fault=self.planner.ends.found_at_fault())
+        return frame
 
     def _knows(self) -> bool:
         return self.mirror.loaded.is_set() and bool(self.rentals.types)
--- a/tidebend/service/ends.py
+++ b/tidebend/service/ends.py
@@ -25,6 +25,15 @@
 # ends that aren't urgent take about this share of our changes at the state service
 ENDS_SHARE = 0.25
 
+# a job that has failed on so many machines, and runs nowhere, is taken to be at fault itself
+TRIED_ON = 3
+# the longest pause between two tries of such a job, in workers' leases
+LONGEST_PAUSE = 2.0
+# so many of the machines on which a job failed are kept in mind
+MOST_MACHINES = 32
+# of so many such jobs the other controllers are told
+MOST_TOLD = 200
+
 Key = tuple[str, int, int]  # job, index, attempt
 
 
@@ -34,6 +43,9 @@
 
     failures: int = 0
     not_before: float = 0.0
+    rounds: int = 0  # pauses so far
+    machines: dict[str, float] = field(default_factory=dict)  # where it failed last, and when (steady time)
+    lasted: float = 0.0  # the longest that a failed task was seen running, in seconds
 
 
 @dataclass
@@ -61,6 +73,7 @@
         self.estimates = estimates
         self.send = send
         self.setbacks: dict[str, Setback] = {}
+        self.others_find_at_fault: Callable[[], frozenset[str]] = frozenset
         self.proven: dict[str, ProvenEnds] = {}  # and not yet recorded
         self.freed: dict[str, Amounts] = {}  # team -> what these ends give back of its limit
         self._since: dict[str, float] = {}  # job -> steady time since which ends wait to be recorded
@@ -83,6 +96,8 @@
             if leads and not job.claims and (job.cancelled or job.complete):
                 ends.setdefault(job.id, ProvenEnds())  # its final record is missing: cancelled with what it waited for
         self.send(unwanted)
+        for name in [name for name in self.setbacks if self.book.get(name) is None]:
+            del self.setbacks[name]
         self._resolve_doubts()
         self.proven = ends
         self.freed = self._freed(ends)
@@ -226,10 +241,7 @@
             self.setbacks.pop(job.id, None)
         elif why == "error" and machine.failures.get(job.id, 0.0) < now - 0.01:
             machine.failures[job.id] = now
-            setback = self.setbacks.setdefault(job.id, Setback())
-            setback.failures += 1
-            # one failure is mostly the machine's; a job that fails again and again is tried ever less often
-            setback.not_before = now + min(8.0, 0.25 * 2.0 ** (setback.failures - 1)) * self.settings.report_s
+            self._set_back(job, machine, now, 0.0 if since is None else now - since)
             log.info("machine %s: %s failed", machine.name, key)
             others = [name for name in machine.failures
                       if name == job.id or self.setbacks.get(name, Setback()).failures < 3]
@@ -237,6 +249,55 @@
                 machine.draining = True
                 log.info("machine %s is set aside: tasks of several jobs fail there", machine.name)
 
+    def _set_back(self, job: Job, machine: Machine, now: float, lasted: float) -> None:
+        setback = self.setbacks.setdefault(job.id, Setback())
+        setback.failures += 1
+        setback.lasted = max(setback.lasted, lasted)
+        setback.machines.pop(machine.name, None)
+        setback.machines[machine.name] = now
+        while len(setback.machines) > MOST_MACHINES:
+            del setback.machines[next(iter(setback.machines))]
+        # one failure is mostly the machine's; a job that fails again and again is tried ever less often
+        pause = min(8.0, 0.25 * 2.0 ** (setback.failures - 1)) * self.settings.report_s
+        if self.at_fault(job, now):
+            if now < setback.not_before:
+                return  # of the same round: an array's tasks fail together
+            setback.rounds += 1
+            pause = min(LONGEST_PAUSE * self.settings.lease_s, 2.0 ** setback.rounds * self.settings.report_s)
+            log.info("job %s fails wherever it is tried: one more try in %.0f s", job.id, pause)
+        setback.not_before = now + pause
+
+    def at_fault(self, job: Job, now: float) -> bool:
+        """Whether a job itself seems to be at fault, rather than machines: submitted with a mistake, it fails on each
+        of them until its user cancels it.
+
+        Guards against machines that are rented and filled for hundreds of tasks that all fail, again and again. A job
+        some task of which is done, or runs for longer than the failed ones did, has only met bad machines.
+        """
+        setback = self.setbacks.get(job.id, Setback())
+        if job.done or (len(setback.machines) < TRIED_ON and job.id not in self.others_find_at_fault()):
+            return False
+        well = 2.0 * (setback.lasted + self.settings.report_s)
+        with self.fleet.lock:
+            for claim in job.claims:
+                machine = self.fleet.machines.get(claim.machine)
+                if machine is not None and any(
+                        now - machine.running_since.get((job.id, index, claim.attempt), now) > well
+                        for index in members(claim.tasks)):
+                    return False
+        return True
+
+    def avoided(self, job: Job, now: float) -> frozenset[str]:
+        """The machines on which a job that seems to be at fault isn't tried again yet: if it is they that are bad, the
+        next one may be good."""
+        setback = self.setbacks.get(job.id)
+        bound = now - LONGEST_PAUSE * self.settings.lease_s
+        return frozenset(name for name, at in setback.machines.items() if at > bound) if setback else frozenset()
+
+    def found_at_fault(self) -> list[str]:
+        """The jobs that we tell the other controllers of: who rents need not be the one whose machines they fail on."""
+        return [name for name, setback in list(self.setbacks.items()) if len(setback.machines) >= TRIED_ON][:MOST_TOLD]
+
     def went_with_a_claim(self, name: str) -> None:
         """A job's ends were recorded in the transaction of its next claim."""
         self._since.pop(name, None)
--- a/tidebend/service/waiting.py
+++ b/tidebend/service/waiting.py
@@ -92,11 +92,15 @@
             return None  # the attempt before it must be over: a gang starts whole
         spec = job.spec
         service = spec.kind == "service"
+        at_fault = self.ends.at_fault(job, now)
+        if at_fault and job.claims:
+            return None  # it is being tried
         estimate = self.nominal_s if service else max(self.estimates.corrected(spec), 0.1)
         used = self.book.used(spec.team)
         usage = Usage(*used) if zones is None else self.book.team(spec.team, zones)
         team = self.settings.teams.get(spec.team)
-        headroom = pending.bit_count()
+        waiting = 1 if at_fault and spec.kind != "gang" else pending.bit_count()
+        headroom = waiting
         within = False
         freed = self.ends.freed.get(spec.team, (0.0, 0.0))
         usage = usage.less(freed)
@@ -111,12 +115,13 @@
         demand = self._demands.get(job.id) or self._own_demand(job, estimate)
         value = value_of(demand, job.since, estimate, within)
         setback = self.ends.setbacks.get(job.id)
-        return Want(job.id, spec, value, estimate, pending.bit_count(), job.per_zone(), headroom,
+        return Want(job.id, spec, value, estimate, waiting, job.per_zone(), headroom,
                     not service and is_reserved(value, clock),
                     clock + max(0.0, setback.not_before - now) if setback else 0.0,
                     largest_share(spec, list(self.types().values())),
                     job.since + self.settings.start_aims.get(spec.job_class, math.inf),
-                    spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()))
+                    spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()),
+                    avoided=self.ends.avoided(job, now) if at_fault else frozenset())
 
     def moving(self, job: Job, lost: set[str], ours: Callable[[int], int], now: float, clock: float) -> Want | None:
         """A service's replicas in lost zones, for which room is held elsewhere; `ours`: for how many of so many it is
