A holder that alone loses its workers gives their block up in a report or two, and not again too early

Meanwhile everybody sends workers on to the holder they can't reach, a time-out each time. Change: controllers tell each other which blocks' workers come to them; a holder that hears none of three or more for 1.25 report intervals while they come to others gives the block up. A token of our own raising doesn't begin the patience anew. A block given up is asked for directly before it is taken back. An orphaned block goes where the next controller is alive.

--- a/lab/links.py
+++ b/lab/links.py
@@ -35,6 +35,8 @@
     until: float
     hold: bool
     held: list = field(default_factory=list)
+    resets: bool = False  # connections that are open are reset; new ones hang, as all do otherwise
+    told: set = field(default_factory=set)  # the machines whose connections were
 
 
 @dataclass
--- a/lab/workers.py
+++ b/lab/workers.py
@@ -128,7 +128,8 @@
         self.next_report = now + self.world.report_s * self.world.random.uniform(0.75, 1.25)
         answer = self.world.to_controller(self.name, self.node, "POST", "/v1/report", self.body())
         if answer is None:
-            self.next_report = now + 5.0  # 4 s without a response, then the next node a second later
+            # 4 s without a response, then the next node a second later
+            self.next_report = now + (1.0 if self.world.was_reset(self.name, self.node) else 5.0)
             self.node = self.world.next_node(self.node)
         elif answer[0] == 200:
             if answer[1].get("helm", -1) >= self.token:
--- a/lab/world.py
+++ b/lab/world.py
@@ -133,6 +133,14 @@
             return None
         return reply.status, json.loads(json.dumps(reply.body))
 
+    def was_reset(self, machine, node):
+        """Whether a report without an answer failed at once, for a connection that was reset."""
+        cut = self.cut_between(node, "workers", self.workers[machine].zone)
+        if cut is None or not cut.resets or machine in cut.told:
+            return False
+        cut.told.add(machine)
+        return True
+
     def copy(self, machine, node, report):
         for row in self.copies:
             if self.now < row.until and row.machine in (None, machine):
--- a/tidebend/coordination/blocks.py
+++ b/tidebend/coordination/blocks.py
@@ -21,3 +21,4 @@
     block: str
     token: int
     since: float  # steady time from which we act on it
+    held: float  # ... and from which we have held the block without a break, under earlier tokens too
--- a/tidebend/coordination/coordinator.py
+++ b/tidebend/coordination/coordinator.py
@@ -37,6 +37,7 @@
         self.lease_until = -1e9
         self._lease_s = settings.controller_lease_s
         self._held: dict[str, Grant] = {}
+        self._raised: dict[str, int] = {}  # block -> the token that we gave ourselves in the place of our last one
         self._outbid: dict[str, tuple[int, str]] = {}  # block -> (token, holder) as peers tell it
         self._lock = threading.Lock()
         self._unheard: dict[str, float] = {}  # block -> steady time until which we would rather not hold it
@@ -103,6 +104,10 @@
         self._unheard[block] = until
         self._announce_or_log(block)
 
+    def says_unheard(self, block: str) -> bool:
+        """Whether we would rather not hold a block, because we hear none of its machines."""
+        return self._unheard.get(block, -1e9) > time.monotonic()
+
     def hears(self, block: str) -> None:
         """We hear some of a block's machines after all."""
         if self._unheard.pop(block, None) is not None:
@@ -214,7 +219,7 @@
         is known to a worker."""
         if self.lease is not None and self.lease_valid:
             try:
-                self._put_block(grant.block, grant.token, self.settings.name, self.lease)
+                self._raised[grant.block] = self._put_block(grant.block, grant.token, self.settings.name, self.lease)
             except FAILURES as error:
                 log.info("block %s: no new token: %s", grant.block, error)
 
@@ -295,21 +300,30 @@
         # Claims that were recorded before the grant must be known before the first answer: our own transactions
         # reach the cache ahead of others' earlier ones.
         if fresh and self.mirror.barrier(self.state.timeout, "claim"):
-            taken = [Grant(block, token, time.monotonic()) for block, token in fresh.items()]
+            now = time.monotonic()
             with self._lock:
+                # Guards against a patience that begins anew with each token: while a block's workers are lost we raise
+                # it again and again, for the commands that got no answer. Whatever else gave us a new one, others may
+                # have held the block meanwhile.
+                taken = [Grant(block, token, now, self._held[block].held
+                               if block in self._held and token == self._raised.get(block) else now)
+                         for block, token in fresh.items()]
                 self._held.update((grant.block, grant) for grant in taken)
             for grant in taken:
                 log.info("block %s is ours with token %s", grant.block, grant.token)
                 self._took_up(grant)
 
-    def _put_block(self, block: str, version: int, holder: str, lease: int) -> None:
+    def _put_block(self, block: str, version: int, holder: str, lease: int) -> int:
+        """The block's new token, if that is known; else 0."""
         value = {"holder": holder, "lease": lease}
         key = BLOCK + block
         try:
-            self.mirror.write({key: version}, [(key, value, lease)], "lease")
+            token = self.mirror.write({key: version}, [(key, value, lease)], "lease")
             self.wake.set()
+            return token
         except NoSuchLease:
             log.debug("block %s: %s has no lease any more", block, holder)
+            return 0
 
     # Leading
 
@@ -346,6 +360,7 @@
         self._nodes_since = {name: self._nodes_since.get(name, now) for name in nodes}
         blocks = self.mirror.under(BLOCK)
         held = dict.fromkeys(nodes, 0)
+        names = sorted({self.settings.name, *(peer.name for peer in self.settings.peers)})
         for value, _ in blocks.values():
             if value["holder"] in held:
                 held[value["holder"]] += 1
@@ -357,8 +372,11 @@
             zone = zone_of(block)
 
             def rank(name: str, block: str = block, zone: str = zone) -> tuple:
-                # who can hear the block's machines; who is in its zone; who has least
-                return block in nodes[name].get("unheard", ()), nodes[name]["zone"] != zone, held[name], name
+                # Who can hear the block's machines; who is in its zone; who has least; whose workers find the next
+                # controller alive if this one falls silent: else they lose another time-out, and with it their leases.
+                after = names[(names.index(name) + 1) % len(names)] if name in names else name
+                return (block in nodes[name].get("unheard", ()), nodes[name]["zone"] != zone, held[name],
+                        after not in nodes, name)
 
             if not nodes:
                 return
@@ -369,7 +387,7 @@
             if holder is None:
                 self._give(block, version, best, nodes, held, None)
             elif holder != best and holder in nodes:
-                unheard, abroad, load, _ = rank(holder)
+                unheard, abroad, load, *_ = rank(holder)
                 better = rank(best)
                 settled = now - self._nodes_since[best] > self._lease_s
                 # A zone that is left alone is asked by all at the same time: none takes it from another before it has
--- a/tidebend/coordination/peers.py
+++ b/tidebend/coordination/peers.py
@@ -8,7 +8,7 @@
 import threading
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 from tidebend.settings import Peer, Settings
@@ -27,6 +27,7 @@
     blocks: frozenset[str] = frozenset()  # those it holds
     # what the version in production doesn't tell:
     at_fault: frozenset[str] = frozenset()  # jobs that failed wherever it tried them
+    came: dict[str, float] = field(default_factory=dict)  # block -> steady time at which a worker of it came to it
 
 
 class PeerLink:
@@ -57,6 +58,8 @@
             news.machines = list(frame["machines"])
             news.blocks = frozenset(frame["held"])
             news.at_fault = frozenset(frame.get("at_fault", ()))
+            now = time.monotonic()
+            news.came = {block: now - float(ago) for block, ago in frame.get("came", {}).items()}
             news.at = time.monotonic()
             self._told(frame["blocks"])
         except (KeyError, TypeError, ValueError) as error:
@@ -68,6 +71,10 @@
         return frozenset().union(*(peer.at_fault for peer in self.peers.values()
                                    if now - peer.at < self.settings.lease_s))
 
+    def came(self, block: str) -> float:
+        """Steady time at which a worker of a block last came to some other controller."""
+        return max((peer.came.get(block, -1e9) for peer in self.peers.values()), default=-1e9)
+
     def _send(self, peer: Peer) -> None:
         stream: socket.socket | None = None
         while True:
--- a/tidebend/service/controller.py
+++ b/tidebend/service/controller.py
@@ -95,7 +95,7 @@
         frame = {"from": self.settings.name, "state_contact": self._contact(), "machines": machines,
                  "held": [grant.block for grant in self.coordinator.grants()], "blocks": self.coordinator.table()}
         if self.formats.pipelines:
-            frame.update(at_fault=self.planner.ends.found_at_fault())
+            frame.update(at_fault=self.planner.ends.found_at_fault(), came=self.witness.came_ago())
         return frame
 
     def _knows(self) -> bool:
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -47,6 +47,12 @@
 # a machine that nobody hears is given up after this share of the workers' lease
 GIVEN_UP_AFTER = 0.55
 
+# A holder that has heard none of so many machines for so many report intervals, in which each has reported once at
+# least, has lost its workers if they come to others; one that was sent on to us is here within a moment.
+FEW_MACHINES = 3
+QUIET_REPORTS = 1.25
+SENT_ON_S = 0.5
+
 
 @dataclass
 class Rented:
@@ -86,6 +92,8 @@
         self._leave_pause_s = max(self._guard_pause_s, 1.0 / (LEAVE_SHARE * settings.cloud_rps))
         self._leave_at = -1e9  # steady time of the next turn at which machines of a lost zone are given up
         self._spare_at = -1e9  # steady time from which idle machines may be given back again
+        self._turned_since: dict[str, float] = {}  # block -> since when its workers come to others and not to us
+        self._guarded_at = -1e9  # steady time of the guard's last look
         self._strangers: dict[str, float] = {}
         self._lead_since: tuple[int | None, float] = (None, 0.0)
         self.gone_news: dict[str, float] = {}
@@ -160,6 +168,9 @@
         told = {row[0] for peer in self.link.peers.values() for row in peer.machines or () if row[4]}
         self.fleet.drop([machine.name for machine in self.fleet.all() if machine.name in told])
         grants = {grant.block: grant for grant in self.coordinator.grants()}
+        if now - self._guarded_at > self._guard_pause_s + SENT_ON_S:
+            self._turned_since.clear()  # we stood still, or are behind: nobody was heard for that reason
+        self._guarded_at = now
         foreign = [m.name for m in self.fleet.all() if block_of(m.zone) not in grants
                    and now - m.heard > self.settings.lease_s]
         self.fleet.drop(foreign)
@@ -175,20 +186,21 @@
             for job in self.book.live():
                 for claim in job.claims:
                     if block_of(claim.zone) == block and claim.machine not in known:
-                        unseen[claim.machine] = grant.since
+                        unseen[claim.machine] = grant.held
             silent = {m.name: since for m in own
-                      if now - (since := self._silent_since(m, grant.since)) > self.planner.places.suspect_s}
+                      if now - (since := self._silent_since(m, grant.held)) > self.planner.places.suspect_s}
             # asked directly before they are given up: a worker may be on its way to us from a dead controller
             self.planner.send({m.name for m in own
                                if now - max(m.heard, m.answered) > 0.6 * self.planner.places.suspect_s})
             silent.update({name: since for name, since in unseen.items()
                            if now - since > self.planner.places.suspect_s})
             until = self._left_alone_until(block)
-            if until is not None and until > grant.since:
+            if until is not None and until > grant.held:
                 # asked by all, and heard by none: no silence of our own need be waited for
-                silent |= {m.name: grant.since for m in own if m.heard <= grant.since} | unseen
+                silent |= {m.name: grant.held for m in own if m.heard <= grant.held} | unseen
             total = len(own) + len(unseen)
-            if silent and len(silent) == total and self.settings.peers:
+            if self.settings.peers and ((silent and len(silent) == total)
+                                        or self._turned_away(block, own, grant.held, now)):
                 self.coordinator.unheard(block, total, 2.0 * self.settings.lease_s)
             self._silent(block, silent, total, now)
             spare += self._idle(own, now)
@@ -198,6 +210,19 @@
                         self._empty(machine)
         self._spare(spare, now)
 
+    def _turned_away(self, block: str, own: list[Machine], granted: float, now: float) -> bool:
+        """Whether a block's workers have lost us alone: none is heard, and they come to other controllers.
+
+        Guards workers that go back and forth, sent on to us by everybody else, each time at the cost of a time-out: by
+        when each of them was suspect by itself, the leases of some ran out.
+        """
+        heard = max((m.heard for m in own), default=granted)
+        if (len(own) < FEW_MACHINES or heard <= granted or self.link.came(block) <= heard
+                or now - heard <= QUIET_REPORTS * self.settings.report_s):
+            self._turned_since.pop(block, None)
+            return False
+        return now - self._turned_since.setdefault(block, now) > SENT_ON_S
+
     def _silent_since(self, machine: Machine, granted: float) -> float:
         """When we last knew it to be alive; answers to direct commands count for no longer than a lease, since a
         worker that reports to nobody loses its tasks all the same."""
--- a/tidebend/service/witness.py
+++ b/tidebend/service/witness.py
@@ -62,6 +62,12 @@
         """A worker of the block has sent us a report, whoever holds it."""
         self._came[block] = time.monotonic()
 
+    def came_ago(self) -> dict[str, float]:
+        """For each block, how many seconds ago one of its workers last came to us, if that was within a lease."""
+        now = time.monotonic()
+        return {block: round(now - at, 3) for block, at in list(self._came.items())
+                if now - at < self.settings.lease_s}
+
     def _silent(self, name: str) -> bool:
         return time.monotonic() - self.link.peers[name].at > 3.0 * self.link.pause
 
@@ -70,11 +76,15 @@
         now = time.monotonic()
         for zone in self.settings.zones:
             block = block_of(zone)
-            if not self.coordinator.doubtful(block, self._silent):
+            doubtful = self.coordinator.doubtful(block, self._silent)
+            # Guards against taking a block back that we still can't hear, because what we said of it has grown old.
+            given_up = self.coordinator.says_unheard(block)
+            if not doubtful and not given_up:
                 self._rounds.pop(block, None)
                 continue
             if now - self._came.get(block, -1e9) < self._timeout + self.settings.report_s:
-                self.coordinator.hears(block)
+                if doubtful:
+                    self.coordinator.hears(block)
                 self._rounds.pop(block, None)
                 continue
             ended = self._rounds.get(block)
@@ -83,9 +93,10 @@
                     if ended.mute + ended.answered < ended.asked:
                         continue
                 if ended.answered:
-                    self.coordinator.hears(block)
+                    if doubtful:
+                        self.coordinator.hears(block)
                     self._quiet_until[block] = now + QUIET_SHARE * self.settings.lease_s
-                elif self.coordinator.left_alone(block) is not None:
+                elif given_up or self.coordinator.left_alone(block) is not None:
                     self.coordinator.unheard(block, ended.asked, 2.0 * self.settings.lease_s)
             if now >= self._quiet_until.get(block, 0.0):
                 self._begin(block, zone)
