--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -65,7 +65,7 @@
 
 
 def test_a_block_without_a_holder_goes_where_the_next_controller_is_alive():
-    """Two of three gone: workers of a controller that stood still went to the one that was down, and lost their leases."""
+    """Two of three gone: workers of one that stood still went to the one that was down, and lost their leases."""
     for world in busy(1, 1.0, 10.0):
         sessions = {worker.name: worker.session for worker in world.workers.values()}
         world.crash("n1", 40.0)
