A report shows that a machine is heard only with the token it was answered with; copies keep no zone heard

Need: copies of reports come late, and a machine's reports arrive while nothing reaches it. A new holder knows no order of reports: copies of a dead machine's, one after the other, kept it heard, and one copy had a lost zone taken for heard. Change: after a grant the first report counts, each later one must show the token that it was answered with; a copy that we have seen isn't a worker that came. Polls are read for as claims are after three reads that failed, reads that are refused for the rate are tried again while users wait, and the log tells the cause of a 503.

--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -1,10 +1,13 @@
 """Troubles that were on no list: what each costs, on virtual time."""
 
+import json
 import random
+import time
 
 import pytest
 
-from lab.links import Cut
+from lab.checker import breaches
+from lab.links import Copies, Cut
 from lab.world import World
 from tests.test_guards import TYPES
 from tests.test_scenarios import JOB
@@ -76,3 +79,87 @@
         for _ in range(250):
             world.step()
         assert {worker.name: worker.session for worker in world.workers.values()} == sessions
+
+
+def report_of(worker, **changes):
+    return json.dumps({**worker.body(), **changes}).encode()
+
+
+def late(controller, raw):
+    return controller.route("POST", "/v1/report", lambda: raw)
+
+
+def test_reports_that_come_late_keep_no_dead_machine_heard_and_no_lost_zone():
+    """A new holder knows no order of reports yet: copies of a dead machine's came one by one, and each was news."""
+    for world in busy(1, 1.0, 10.0):
+        worker = next(worker for worker in world.workers.values() if worker.zone == "south")
+        old = [report_of(worker) for _ in range(4)]
+        first = world.controllers["n0"]
+        came = first.witness.came_ago().get("south.0", 1e9)
+        assert late(first, old[3]).status == 421  # not ours: whoever it is, it came
+        assert first.witness.came_ago()["south.0"] < came
+        world.steady += 2.0
+        late(first, old[0])
+        late(first, old[3])
+        assert first.witness.came_ago()["south.0"] >= 2.0
+        del world.workers[worker.name]
+        world.crash("n1", 30.0)
+        while not first.coordinator.grant("south.0") and not world.controllers["n2"].coordinator.grant("south.0"):
+            world.step()
+        holder = next(world.controllers[node] for node in ("n0", "n2")
+                      if world.controllers[node].coordinator.grant("south.0"))
+        holder.fleet.drop([worker.name])
+        began = world.steady
+        for raw in old:
+            late(holder, raw)
+            world.steady += 0.5
+        assert holder.fleet.machines[worker.name].heard <= began  # the first alone
+        assert worker.name not in holder.planner.places.all(world.steady, time.time())
+
+
+TROUBLES = {
+    "crash of all": lambda world: [world.crash(node, 0.2) for node in world.nodes],
+    "outage": lambda world: world.state.down(world.now + 8.0),
+    "refused": lambda world: world.state.refuses.update(n1=world.now + 12.0),
+    "frozen": lambda world: world.frozen.update(n0=world.now + 15.0),
+    "left with its workers": lambda world: world.cuts.extend(
+        [Cut("n2", "state", world.now + 15.0, True), Cut("n2", "peers", world.now + 15.0, True)]),
+    "deaf machines": lambda world: world.deaf.update(dict.fromkeys(list(world.workers)[::4], world.now + 15.0)),
+    "copies": lambda world: world.copies.append(Copies(None, world.now + 40.0, 17.0, True)),
+}
+
+
+def test_nobody_is_forgotten_whatever_a_controller_went_through():
+    """Every kind of record through every trouble; then each controller is asked about each job."""
+    for world in busy(3, 1.0, 10.0):
+        world.polls.clear()
+        more = [("req-service", {"shape": "service", "pieces": 3, "reckonS": 0.0, "driftwood": False}),
+                ("req-gang", {"shape": "group", "pieces": 2, "samePlace": True}),
+                ("req-large", {"pieces": 3000, "vcpus": 0.01, "memoryGb": 0.01}),
+                ("req-first", {}), ("req-second", {"awaits": ["req-first"]}), ("req-third", {"awaits": ["req-second"]}),
+                ("req-cancelled", {"pieces": 4, "run_s": 500.0}), ("req-after", {"awaits": ["req-cancelled"]}),
+                ("req-mistake", {"pieces": 6, "fails_s": 1.0})]
+        waiting = list(TROUBLES.values())
+        for number, (name, changes) in enumerate(more):
+            world.submit(name, **{**JOB, "run_s": 8.0, **changes})
+            if number == 7:
+                world.cancel("req-cancelled")
+            for _ in range(25):
+                world.step()
+            if waiting:
+                waiting.pop(0)(world)
+            while world.pending:  # users name only what was accepted
+                world.step()
+        for _ in range(500):
+            world.step()
+        for _ in range(3):
+            for name in world.jobs:
+                for node in world.nodes:
+                    assert world.user("poll", name, node)[0] == 200, (name, node)
+            for _ in range(250):
+                world.step()
+        told = {name: world.user("poll", name)[1] for name in world.jobs}
+        assert {told[name] for name in ("req-cancelled", "req-after")} == {"withdrawn"}
+        assert {told[name] for name in ("req-gang", "req-large", "req-first", "req-third")} == {"done"}
+        assert told["req-service"] == "running" and told["req-a"] != "withdrawn" and told["req-mistake"] in ("queued", "running")
+        assert not breaches(world.log, world.jobs, TEAMS, world.cancel_s, world.completed)
--- a/tidebend/bookkeeping/machines.py
+++ b/tidebend/bookkeeping/machines.py
@@ -32,6 +32,7 @@
     running_since: dict[tuple[str, int, int], float] = field(default_factory=dict)
     # ended tasks that were learnt from; guards against counting one failure once for each look at it
     observed: set[tuple[str, int, int]] = field(default_factory=set)
+    told: int = 0  # the highest token with which a report of this machine was answered
     # the newest proper report, as opposed to answers to direct commands
     report_sequence: int = 0
     # starts sent in answers to reports: (job, index, attempt) -> sequence of the report
@@ -62,7 +63,10 @@
             if report.sequence <= self.report_sequence:
                 return False
             self.report_sequence = report.sequence
-            self.heard = now
+            # Guards against a machine that nothing reaches, and against a dead one whose reports come again late: the
+            # first report after a grant is news by itself, each one after it must show the token it was answered with.
+            if report.token >= self.told:
+                self.heard = now
         else:
             self.answered = now
         if (report.session, report.sequence) <= (self.session, self.sequence):
@@ -104,8 +108,8 @@
         self.machines: dict[str, Machine] = {}
         self.gone: OrderedDict[str, float] = OrderedDict()  # released: name -> steady time
 
-    def heard(self, report: Report, direct: bool = False) -> Machine | None:
-        """None for a machine that was released, and for a late report."""
+    def heard(self, report: Report, direct: bool = False, token: int = 0) -> Machine | None:
+        """None for a machine that was released, and for a late report; `token`: with which it will be answered."""
         now = time.monotonic()
         with self.lock:
             if report.machine in self.gone:
@@ -114,7 +118,10 @@
             if machine is None:
                 machine = Machine(report.machine, report.type, report.zone, report.spot, first_heard=now, heard=now)
                 self.machines[report.machine] = machine
-            return machine if machine.hears(report, now, direct) else None
+            if not machine.hears(report, now, direct):
+                return None
+            machine.told = max(machine.told, token)
+            return machine
 
     def released(self, names: list[str]) -> None:
         with self.lock:
--- a/tidebend/service/users.py
+++ b/tidebend/service/users.py
@@ -22,13 +22,23 @@
 log = logging.getLogger("users")
 
 LATER = {"Retry-After": "1"}
+# each cause of 503 is logged no more often than this
+SAID_AGAIN_S = 10.0
 # a poll looks up at most so many jobs that are long over before it is answered; others find theirs looked up then
 MOST_LOOKUPS = 4
 # the names of what a job waits for take no more than this share of its record
 AWAITS_SHARE = 0.35
 
 
+_said: dict[str, float] = {}  # cause -> steady time at which the log last told it
+
+
 def unsure(text: str) -> Reply:
+    """503 with its cause, which the log tells once in a while."""
+    now = time.monotonic()
+    if now - _said.get(text, -1e9) > SAID_AGAIN_S:
+        _said[text] = now
+        log.info("503: %s", text)
     return Reply(503, {"error": text}, LATER)
 
 
--- a/tidebend/service/workers.py
+++ b/tidebend/service/workers.py
@@ -14,7 +14,7 @@
 from tidebend.bookkeeping.book import JobBook
 from tidebend.bookkeeping.machines import Fleet, orders
 from tidebend.coordination import Coordinator, Grant, PeerLink, block_of
-from tidebend.protocol import Invalid
+from tidebend.protocol import Invalid, Report
 from tidebend.service import sockets
 from tidebend.service.users import parse_body, unsure
 from tidebend.settings import Settings
@@ -23,6 +23,8 @@
 
 log = logging.getLogger("workers")
 
+# the newest reports of so many machines are kept in mind; of others a copy counts as news, as it does after a start
+REMEMBERED = 10_000
 # keeps a response far below the 64 KiB that a line may have
 MOST_COMMANDS = 300
 
@@ -41,6 +43,23 @@
         self.fleet = fleet
         self.coordinator = coordinator
         self.wake = wake
+        self._newest: OrderedDict[str, tuple[int, int]] = OrderedDict()  # machine -> session and sequence
+        self._newest_lock = threading.Lock()
+
+    def _is_news(self, report: Report) -> bool:
+        """Whether a report is newer than all that came to us from its machine, whoever holds it.
+
+        Guards against copies that come late: they would have a lost zone taken for heard.
+        """
+        number = report.session, report.sequence
+        with self._newest_lock:
+            if number <= self._newest.get(report.machine, (0, 0)):
+                return False
+            self._newest[report.machine] = number
+            self._newest.move_to_end(report.machine)
+            while len(self._newest) > REMEMBERED:
+                self._newest.popitem(last=False)
+        return True
 
     def report(self, raw: bytes) -> Reply:
         try:
@@ -48,7 +67,8 @@
         except Invalid as error:
             return Reply(400, {"error": str(error)})
         block = block_of(report.zone)
-        self.came(block)
+        if self._is_news(report):
+            self.came(block)
         grant = self.coordinator.grant(block)
         if grant is not None and report.token > grant.token:
             self.coordinator.deposed(block, report.token)
@@ -64,7 +84,7 @@
         with self.fleet.lock:
             before = self.fleet.machines.get(report.machine)
             seen = {key: task.state for key, task in before.tasks.items()} if before else None
-            machine = self.fleet.heard(report)
+            machine = self.fleet.heard(report, token=grant.token)
             if machine is None:
                 return unsure("a late report")
             changed = seen != {key: task.state for key, task in machine.tasks.items()}
--- a/tidebend/storage/client.py
+++ b/tidebend/storage/client.py
@@ -150,8 +150,10 @@
     def changes(self, prefix: str, revision: int, wait_s: float,
                 kind: str) -> tuple[list[tuple[str, Any, int]], int] | None:
         """None if the revision is too old."""
+        # users wait for longer than this: what is refused for the rate is tried again meanwhile
+        patience = 0.0 if wait_s else 0.5 * self.timeout
         status, answer = self._call("GET", protocol.changes_path(prefix, revision, int(wait_s * 1000)), None, kind,
-                                    timeout=wait_s + self.timeout)
+                                    timeout=wait_s + self.timeout, patience=patience)
         if status == 410:
             return None
         if status != 200:
--- a/tidebend/storage/mirror.py
+++ b/tidebend/storage/mirror.py
@@ -17,6 +17,9 @@
 
 log = logging.getLogger("storage")
 
+# after so many reads in a row that failed, polls are read for as claims are
+MOST_MISSED = 3
+
 
 class Mirror:
     """A cache of every key under LIVE, fed by a watch and by reads on demand; finals are only passed on.
@@ -149,6 +152,7 @@
         service has for leases, claims and submissions.
         """
         poll_at = -1e9  # steady time from which a read for polls alone may begin
+        missed = 0  # reads for polls that failed in a row
         while True:
             with self._read:
                 while self._wanted <= self._begun:
@@ -159,12 +163,15 @@
                 number = self._begun
                 kind, self._kind = self._kind, "poll"
             poll_at = time.monotonic() + self.state.poll_pause_s
+            if kind == "poll" and missed >= MOST_MISSED:
+                kind = "claim"  # guards against polls that wait behind claims for as long as these go on
             try:
                 self.catch_up(0.0, kind)
                 fine = True
             except (Unavailable, Unknown) as error:
                 log.debug("barrier: %s", error)
                 fine = False
+            missed = 0 if fine else missed + 1
             with self._read:
                 if fine:
                     self._succeeded = number
