A job none of which has begun for ten leases keeps a standing reservation until it begins

Change: a job none of which has begun after ten workers' leases is reserved for, in the order of the times since when, until its first claim; then the ordinary rules hold again.

--- a/tests/test_tenancy.py
+++ b/tests/test_tenancy.py
@@ -130,7 +130,7 @@
     """The borrower has waited for longest; the small team is owed four tasks of eight."""
     places = [place(f"m{number}") for number in range(3)]  # two tasks fit on each
     greedy = want("greedy", team="greedy", tasks=10)
-    greedy.reserved = True
+    greedy.reserved = greedy.value.soft
     small = want("small", team="small", tasks=8)
     owed = {"small": Owed(16.0, 0.0), "greedy": Owed(-100.0, 0.0)}
     placements = map_tasks([greedy, small], places, 0.0, 60.0, owed)
@@ -140,12 +140,12 @@
 
 def test_a_gang_is_owed_only_if_all_of_it_is_within_the_guarantee():
     greedy = want("greedy", team="greedy", tasks=6)
-    greedy.reserved = True
+    greedy.reserved = greedy.value.soft
     gang = want("gang", team="small", kind="gang", tasks=3)
     places = [place(f"m{number}") for number in range(2)]
     assert started(map_tasks([greedy, gang], places, 0.0, 60.0, {"small": Owed(8.0, 0.0)}), "gang") == 0
     greedy = want("greedy", team="greedy", tasks=6)
-    greedy.reserved = True
+    greedy.reserved = greedy.value.soft
     gang = want("gang", team="small", kind="gang", tasks=3)
     places = [place(f"m{number}") for number in range(2)]
     assert started(map_tasks([greedy, gang], places, 0.0, 60.0, {"small": Owed(12.0, 0.0)}), "gang") == 3
--- a/tidebend/scheduling/pick.py
+++ b/tidebend/scheduling/pick.py
@@ -153,7 +153,7 @@
             if place.name in startable.names:
                 offer(entry, spot)
 
-    # Services go first; then standing reservations, the oldest soft deadline before the others; then the pick. What a
+    # Services go first; then standing reservations, the oldest before the others; then the pick. What a
     # team is owed of its guarantee goes ahead of what is borrowed, in the same order: guards against a team that
     # borrows and has work waiting for so long that its standing reservations take all the room that comes free.
     # Borrowed work of a higher priority takes part on equal terms: guards against a pipeline's urgent steps that come
@@ -166,9 +166,10 @@
     least = min((want.value.start for want in others if want.job in promised), default=math.inf)
 
     def in_order(entries: list[Want], owed_only: frozenset[str]) -> None:
-        for want in sorted((want for want in entries if want.reserved), key=lambda want: (want.value.soft, want.job)):
+        for want in sorted((want for want in entries if want.reserved is not None),
+                           key=lambda want: (want.reserved, want.job)):
             run([want], owed_only)
-        run([want for want in entries if not want.reserved], owed_only)
+        run([want for want in entries if want.reserved is None], owed_only)
 
     first = [want for want in others if want.job in promised or want.value.start > least]
     in_order(first, promised)
--- a/tidebend/scheduling/wants.py
+++ b/tidebend/scheduling/wants.py
@@ -46,7 +46,7 @@
     waiting: int
     zones: dict[str, int] = field(default_factory=dict)  # its tasks' places, ended or not yet proven so
     headroom: int = 1_000_000  # tasks that the team's limit still allows
-    reserved: bool = False  # past its soft deadline: keeps a standing reservation
+    reserved: float | None = None  # the time of day since which it keeps a standing reservation
     not_before: float = 0.0
     share: float = 1.0  # the largest of a machine that a task takes
     start_by: float = math.inf  # time of day by which its tasks should have started, by an aim of its class
--- a/tidebend/service/waiting.py
+++ b/tidebend/service/waiting.py
@@ -12,7 +12,7 @@
 from tidebend.bookkeeping.tasksets import members
 from tidebend.coordination import Coordinator
 from tidebend.protocol import JobSpec, MachineType
-from tidebend.scheduling import Demand, Owed, Want, demands, is_reserved, largest_share, own_demand, value_of
+from tidebend.scheduling import Demand, Owed, Value, Want, demands, is_reserved, largest_share, own_demand, value_of
 from tidebend.service.ends import Ends
 from tidebend.service.estimates import Estimates
 from tidebend.settings import Settings
@@ -21,6 +21,8 @@
 
 # what is placed a moment from now holds its slot for the rest of the event, and doesn't start
 SOON_S = 0.001
+# a job none of which has begun keeps a standing reservation after so many of the workers' leases
+PATIENCE = 10.0
 
 
 class Waiting:
@@ -33,6 +35,7 @@
         self.types = types
         self.estimates = estimates
         self.ends = ends
+        self.patience_s = PATIENCE * settings.lease_s
         # a service without an estimate counts as long as a worker's lease when values are compared
         self.nominal_s = settings.lease_s
         self._demands: dict[str, Demand] = {}  # of jobs that others need, and of those
@@ -116,13 +119,25 @@
         value = value_of(demand, job.since, estimate, within)
         setback = self.ends.setbacks.get(job.id)
         return Want(job.id, spec, value, estimate, waiting, job.per_zone(), headroom,
-                    not service and is_reserved(value, clock),
+                    None if service else self._reserved_since(job, value, clock),
                     clock + max(0.0, setback.not_before - now) if setback else 0.0,
                     largest_share(spec, list(self.types().values())),
                     job.since + self.settings.start_aims.get(spec.job_class, math.inf),
                     spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()),
                     avoided=self.ends.avoided(job, now) if at_fault else frozenset())
 
+    def _reserved_since(self, job: Job, value: Value, clock: float) -> float | None:
+        """Since when a job keeps a standing reservation, if it does.
+
+        Past its soft deadline, as the design has it, while it is worth anything; and once it has waited for long and
+        none of it has begun. Guards against small work that comes faster than the machines allow and is worth more per
+        resource at every event: large jobs and long ones waited until they were worth nothing, and then last.
+        """
+        unbegun = job.since + self.patience_s
+        if not job.started and clock > unbegun:
+            return min(unbegun, value.soft)
+        return value.soft if is_reserved(value, clock) else None
+
     def moving(self, job: Job, lost: set[str], ours: Callable[[int], int], now: float, clock: float) -> Want | None:
         """A service's replicas in lost zones, for which room is held elsewhere; `ours`: for how many of so many it is
         we who hold it."""
