Reports that can't be are refused by name; users of a controller out of touch alone are sent elsewhere

Need: bad input must get a clear 400 and change nothing: a zone that there isn't, a machine that comes back as another, a task's attempt twice. And users kept their connection to a controller that others could have answered for, refused until the load balancer gave it up. Change: these reports get 400, and the log says why; a 503 to a user ends the connection when we aren't ready.

--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -164,3 +164,33 @@
         assert told["req-service"] == "running" and told["req-a"] != "withdrawn"
         assert told["req-mistake"] in ("queued", "running")
         assert not breaches(world.log, world.jobs, TEAMS, world.cancel_s, world.completed)
+
+
+@pytest.mark.parametrize("changes", [
+    {"harbor": "nowhere"}, {"harbor": "south"}, {"hull": "other"}, {"driftwood": True}, {"watch": -1}, {"tally": 2**64},
+    {"helm": "x"}, {"vessel": "a b"}, {"pieces": [{"piece": "req-a/0", "launch": 1, "tide": "running"}] * 2},
+    {"pieces": [{"piece": "req-a/x", "launch": 1, "tide": "running"}]}, {"warningS": "soon"}])
+def test_a_report_that_cannot_be_is_refused_by_name_and_changes_nothing(changes):
+    for world in busy(1, 1.0, 10.0):
+        holder = world.controllers["n0"]
+        worker = next(worker for worker in world.workers.values() if worker.zone == "north")
+        before = repr(holder.fleet.machines[worker.name])
+        reply = late(holder, report_of(worker, **changes))
+        assert reply.status == 400 and len(reply.body["error"]) > 10
+        assert repr(holder.fleet.machines[worker.name]) == before
+
+
+def test_who_asks_a_controller_that_is_out_of_touch_alone_finds_another_at_once():
+    """Users stayed on their connections and were refused until the load balancer had given the controller up."""
+    for world in busy(1, 1.0, 10.0):
+        first = world.controllers["n0"]
+        poll = ("GET", "/api/jobs/req-a", lambda: b"")
+        assert not first.route(*poll).closes
+        world.state.refuses["n0"] = world.now + 100.0
+        for _ in range(60):
+            world.step()
+        reply = first.route(*poll)
+        assert (reply.status, reply.closes) == (503, True)
+        for peer in first.link.peers.values():
+            peer.at = -1e9  # as far as it knows nobody can answer: no use in connecting anew
+        assert not first.route(*poll).closes
--- a/tidebend/protocol/reports.py
+++ b/tidebend/protocol/reports.py
@@ -35,6 +35,8 @@
         why = row.get("cause")
         tasks.append(TaskReport(job, int(index), count(row, "launch", 0, top), state,
                                 why if isinstance(why, str) else None, row.get("stored") is True))
+    if len({(task.job, task.index, task.attempt) for task in tasks}) < len(tasks):
+        raise Invalid("pieces names a task's attempt twice")
     notice = body.get("warningS")
     machine = text(body, "vessel")
     if not NAME.match(machine):
--- a/tidebend/service/controller.py
+++ b/tidebend/service/controller.py
@@ -133,6 +133,13 @@
             if method not in ("GET", "HEAD"):
                 return Reply(405, {"error": "use GET"})
             return Reply(200, {}) if self.ready() else Reply(503, {"error": "not ready"}, {"Retry-After": "1"})
+        reply = self._users_request(method, path, body)
+        # Guards users of a controller that is out of touch alone: on the same connection they would find no other until
+        # the load balancer gives it up, which takes it several seconds.
+        reply.closes = reply.status == 503 and not self.ready()
+        return reply
+
+    def _users_request(self, method: str, path: str, body: Callable[[], bytes]) -> Reply:
         if path == protocol.PATH_JOBS:
             return self.users.submit(body()) if method == "POST" else Reply(405, {"error": "use POST"})
         if path.startswith(protocol.PATH_JOBS + "/"):
--- a/tidebend/service/workers.py
+++ b/tidebend/service/workers.py
@@ -61,10 +61,21 @@
                 self._newest.popitem(last=False)
         return True
 
+    def _check(self, report: Report) -> None:
+        """What the body alone doesn't show: a zone that there isn't, a machine that has become another."""
+        if report.zone not in self.settings.zones:
+            raise Invalid(f"harbor: expected one of {', '.join(self.settings.zones)}")
+        with self.fleet.lock:
+            known = self.fleet.machines.get(report.machine)
+        if known is not None and (known.type, known.zone, known.spot) != (report.type, report.zone, report.spot):
+            raise Invalid(f"vessel: {report.machine} is a {known.type} in {known.zone}{' (spot)' * known.spot}")
+
     def report(self, raw: bytes) -> Reply:
         try:
             report = protocol.parse_report(parse_body(raw))
+            self._check(report)
         except Invalid as error:
+            log.info("a report is refused: %s", error)
             return Reply(400, {"error": str(error)})
         block = block_of(report.zone)
         if self._is_news(report):
--- a/tidebend/transport/server.py
+++ b/tidebend/transport/server.py
@@ -23,14 +23,16 @@
     """Thrown or returned by a handler: a status, a body and headers."""
 
     def __init__(self, status: int, body: Any = None, headers: dict[str, str] | None = None,
-                 kind: str = "application/json", yields: bool = False) -> None:
-        """`body` is sent as JSON, bytes as they are; `yields`: where connections are short, this one is closed."""
+                 kind: str = "application/json", yields: bool = False, closes: bool = False) -> None:
+        """`body` is sent as JSON, bytes as they are; `yields`: where connections are short, this one is closed;
+        `closes`: it is closed in any case."""
         super().__init__(status)
         self.status = status
         self.body = body
         self.headers = headers or {}
         self.kind = kind
         self.yields = yields
+        self.closes = closes
 
 
 Route = Callable[[str, str, Callable[[], bytes]], Reply]
@@ -90,7 +92,7 @@
         if not self._read and (self.headers.get("Content-Length", "0") != "0"
                                or self.headers.get("Transfer-Encoding")):
             self.close_connection = True  # what follows on the connection is a body nobody read
-        if reply.yields and self.server.short:
+        if reply.closes or (reply.yields and self.server.short):
             self.close_connection = True
         if isinstance(reply.body, bytes):
             data = reply.body
