--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -11,6 +11,10 @@
 from lab.world import World
 from tests.test_guards import TYPES
 from tests.test_scenarios import JOB
+from tidebend.bookkeeping.claims import Claim
+from tidebend.bookkeeping.jobs import Job
+from tidebend.protocol import parse_job
+from tidebend.service.ends import Setback
 
 ZONES = ["north", "south", "west"]
 TEAMS = [{"name": "team", "cpus": 400.0, "cpus_max": 400.0, "gpus": 0.0, "gpus_max": 0.0}]
@@ -194,3 +198,15 @@
         for peer in first.link.peers.values():
             peer.at = -1e9  # as far as it knows nobody can answer: no use in connecting anew
         assert not first.route(*poll).closes
+
+
+def test_a_service_that_runs_elsewhere_is_not_at_fault_for_three_bad_machines():
+    """Its other replicas hold their places for ever: taken for tries, they would keep it from being tried."""
+    for world in busy(1, 1.0, 10.0):
+        first = world.controllers["n0"]
+        first.planner.ends.setbacks["req-s"] = Setback(failures=3, machines=dict.fromkeys(["a", "b", "c"], 0.0))
+        spec = parse_job({**JOB, "shape": "service", "pieces": 2})
+        claimed = Job("req-s", 1, spec, 0.0).with_claims([Claim("vm-far", 1, 1, 1, time.time(), "south")])
+        assert first.planner.ends.at_fault(claimed, time.monotonic())
+        world.now += 2.5 * 10.0
+        assert not first.planner.ends.at_fault(claimed, time.monotonic())
--- a/tidebend/service/ends.py
+++ b/tidebend/service/ends.py
@@ -272,7 +272,8 @@
         of them until its user cancels it.
 
         Guards against machines that are rented and filled for hundreds of tasks that all fail, again and again. A job
-        some task of which is done, or runs for longer than the failed ones did, has only met bad machines.
+        some task of which is done, or runs for longer than the failed ones did, has only met bad machines. Of tasks on
+        others' machines we know how long they have been claimed: ends are recorded much sooner than after two leases.
         """
         setback = self.setbacks.get(job.id, Setback())
         if job.done or (len(setback.machines) < TRIED_ON and job.id not in self.others_find_at_fault()):
@@ -281,7 +282,10 @@
         with self.fleet.lock:
             for claim in job.claims:
                 machine = self.fleet.machines.get(claim.machine)
-                if machine is not None and any(
+                if machine is None:
+                    if time.time() - claim.at > LONGEST_PAUSE * self.settings.lease_s:
+                        return False
+                elif any(
                         now - machine.running_since.get((job.id, index, claim.attempt), now) > well
                         for index in members(claim.tasks)):
                     return False
