--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,6 +1,7 @@
 """Runs the scenarios in tests/scenarios: what is submitted, what fails when, and what must hold.
 
-A line is `TIME action words...` or `expect words...`; the rest sets the scene. Every scenario must keep the rules.
+A line is `TIME action words...` or `expect words...`; the rest sets the scene. `every STEP UNTIL submit NAME ...` after the
+time submits NAME-0, NAME-1 and so on. Every scenario must keep the rules.
 """
 
 from __future__ import annotations
@@ -53,6 +54,10 @@
                 continue
             if words[0] == "expect":
                 self.expected.append(words[1:])
+            elif words[0][0].isdigit() and words[1] == "every":
+                begin, step, until = float(words[0]), float(words[2]), float(words[3])
+                self.events += [(begin + n * step, [words[4], f"{words[5]}-{n}", *words[6:]])
+                                for n in range(int((until - begin) / step) + 1)]
             elif words[0][0].isdigit():
                 self.events.append((float(words[0]), words[1:]))
             elif words[0] == "run":
