--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -1,7 +1,7 @@
 """Runs the scenarios in tests/scenarios: what is submitted, what fails when, and what must hold.
 
-A line is `TIME action words...` or `expect words...`; the rest sets the scene. `every STEP UNTIL submit NAME ...` after the
-time submits NAME-0, NAME-1 and so on. Every scenario must keep the rules.
+A line is `TIME action words...` or `expect words...`; the rest sets the scene. `TIME every STEP UNTIL submit NAME ...`
+submits NAME-0, NAME-1 and so on. Every scenario must keep the rules.
 """
 
 from __future__ import annotations
