What was started directly and ended isn't cleared before the worker has confirmed a higher token

Need: requests that were carried out may be repeated. A direct start that was answered and is carried out again after its attempt was cleared runs it beside what took its place. Change: such attempts are cleared after a higher token, unless they were done, since a result is kept; a holder raises its token for it after eight leases at the most. A machine that holds only ended tasks counts as idle. The scenario and the guard's test fail without it.

--- a/lab/workers.py
+++ b/lab/workers.py
@@ -23,6 +23,7 @@
         self.address = (f"10.1.0.{int(name[3:])}", 9000)
         self.session, self.sequence, self.token = 1, 0, 0
         self.tasks = {}
+        self.old = {}  # ended tasks of which another attempt has come: (key, attempt) -> task
         self.images = set()
         self.began = world.now
         self.answered = world.now  # when the last answered report was sent
@@ -65,7 +66,7 @@
     def lose_all(self):
         for key in self.tasks:
             self.gone(key)
-        self.tasks = {}
+        self.tasks, self.old = {}, {}
 
     def finish(self, key, why, saved=False):
         self.gone(key)
@@ -87,6 +88,9 @@
                     task.state, task.why = "ended", "error"
                     continue
                 self.images.add(spec["cargo"])
+                if key in self.world.completed:
+                    task.state, task.why = "ended", "done"  # the result is kept
+                    continue
                 task.state, task.since = "waiting" if spec["shape"] == "group" else "running", now
                 task.progress = self.world.saved.get(key, 0.0)
                 self.world.starts[key.partition("/")[0]] += 1
@@ -112,7 +116,7 @@
     def body(self):
         self.sequence += 1
         rows = []
-        for key, task in self.tasks.items():
+        for key, task in [*self.tasks.items(), *((key, task) for (key, _), task in self.old.items())]:
             row = {"piece": key, "launch": task.attempt, "tide": task.state}
             if task.state == "ended":
                 row["cause"] = task.why
@@ -148,19 +152,24 @@
             key, attempt = order["piece"], order["launch"]
             task = self.tasks.get(key)
             if order["order"] == "start":
-                if task is not None and task.attempt == attempt:
+                if (task is not None and task.attempt == attempt) or (key, attempt) in self.old:
                     continue
                 spec = self.world.jobs.get(key.partition("/")[0])
                 made = Task(attempt, "fetching", self.world.now, self.world.now)
                 if spec is None:
                     made.state, made.why = "ended", "no_such"
-                elif task is not None:
+                elif task is not None and task.state != "ended":
                     continue  # the stand-in has one place for each task; the real answer is in_use
                 elif self.world.room(self, spec) < 1:
                     made.state, made.why = "ended", "full"
                 elif spec["cargo"] not in self.images:
                     made.image_at += spec["sizeGb"]
+                if task is not None:
+                    self.old[key, task.attempt] = task
                 self.tasks[key] = made
+            elif (key, attempt) in self.old:
+                if order["order"] == "clear":
+                    del self.old[key, attempt]
             elif task is not None and task.attempt == attempt:
                 if order["order"] == "clear" and task.state == "ended":
                     del self.tasks[key]
--- a/lab/world.py
+++ b/lab/world.py
@@ -50,6 +50,8 @@
         self.mute = {}  # machine -> until: commands reach it and are answered, its reports don't arrive
         self.copies = []  # what is copied; see Copies
         self.late = []  # copies under way: (when, controller, report)
+        self.repeats = []  # direct commands that are repeated: (until, how late)
+        self.again = []  # repeats under way: (when, machine, path, body)
         self.saved = {}  # task, or gang -> seconds of progress that are safe
         self.lost = Counter()  # job -> seconds of work that were lost
         self.starts, self.stops = Counter(), Counter()  # job -> starts executed, tasks that left without being done
@@ -102,6 +104,9 @@
             if self.now < self.deaf.get(worker.name, -1.0):
                 raise version.no_answer("nothing comes back")
             side, zone, target = "workers", worker.zone, lambda: worker.direct(method, path, body)
+            if method == "POST":
+                self.again += [(self.now + late_s, worker.name, path, body)
+                               for until, late_s in self.repeats if self.now < until]
         cut = self.cut_between(node, side, zone)
         if cut is not None:
             if cut.hold and method == "POST":
@@ -148,6 +153,10 @@
                               for to in (self.nodes if row.everywhere else [node])]
 
     def deliver_copies(self):
+        for row in [row for row in self.again if row[0] <= self.now]:
+            self.again.remove(row)
+            if row[1] in self.workers:
+                self.workers[row[1]].direct("POST", row[2], row[3])
         due = [row for row in self.late if row[0] <= self.now]
         self.late = [row for row in self.late if row[0] > self.now]
         for _, node, report in due:
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -508,3 +508,16 @@
     first.rentals._leave_at = now  # its next turn
     first.rentals._move_out(silent, now - worth - 1.0, now)
     assert given_up[1] == ["vm-000100", "vm-000101"]
+
+
+def test_what_was_started_directly_and_ended_is_not_cleared_before_a_higher_token_is_confirmed():
+    """Its start may be carried out again: once the attempt is forgotten it would run beside what took its place."""
+    machine = Machine("m", "box", "north", False, session=1, token=5)
+    machine.direct = {("a", 0, 1): 5, ("a", 1, 1): 4, ("a", 2, 1): 5}
+    machine.tasks = {("a", 0, 1): TaskReport("a", 0, 1, "ended", "stopped", False),
+                     ("a", 1, 1): TaskReport("a", 1, 1, "ended", "stopped", False),
+                     ("a", 2, 1): TaskReport("a", 2, 1, "ended", "done", False)}  # would only end again
+    assert {(c.op, c.index) for c in orders(machine, [], 5, True)} == {("forget", 1), ("forget", 2)}
+    assert machine.kept_since is not None
+    machine.token = 6
+    assert ("forget", 0) in {(c.op, c.index) for c in orders(machine, [], 6, True)} and machine.kept_since is None
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -145,6 +145,8 @@
         elif what == "copies":  # MACHINE|all SECONDS DELAY [everywhere]: its reports come again so much later
             world.copies.append(Copies(None if rest[0] == "all" else rest[0], world.now + float(rest[1]),
                                        float(rest[2]), "everywhere" in rest))
+        elif what == "repeats":  # SECONDS LATE: direct commands are carried out again so much later
+            world.repeats.append((world.now + float(rest[0]), float(rest[1])))
         elif what == "freeze":  # NODE SECONDS: stands still while its clocks run on
             world.frozen[rest[0]] = world.now + float(rest[1])
         elif what == "sick":
--- a/tidebend/bookkeeping/machines.py
+++ b/tidebend/bookkeeping/machines.py
@@ -39,6 +39,9 @@
     sent: dict[tuple[str, int, int], int] = field(default_factory=dict)
     # starts sent directly whose outcome is open: (job, index, attempt) -> (token, steady time)
     doubtful: dict[tuple[str, int, int], tuple[int, float]] = field(default_factory=dict)
+    # tokens of the starts that were sent directly, whatever came of them: (job, index, attempt) -> token
+    direct: dict[tuple[str, int, int], int] = field(default_factory=dict)
+    kept_since: float | None = None  # steady time since which ended tasks aren't cleared, for the sake of those
     # what we want stopped, and with how much grace
     stops: dict[tuple[str, int, int], float] = field(default_factory=dict)
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)
@@ -55,6 +58,8 @@
         if report.session > self.session:
             self.sent.clear()
             self.doubtful.clear()
+            self.direct.clear()
+            self.told = 0
             self.stops.clear()
             self.running_since.clear()
             self.observed.clear()
@@ -95,6 +100,15 @@
         sent = self.sent.get(key)
         return key not in self.doubtful and (sent is None or self.report_sequence > sent)
 
+    def may_be_cleared(self, key: tuple[str, int, int]) -> bool:
+        """Whether nothing can run an ended attempt again once the worker has forgotten it.
+
+        Guards against direct commands that are carried out a second time, late: a start has no effect while the worker
+        knows the attempt, or once it has seen a higher token. What is done only ends again if it is started again.
+        """
+        return self.can_no_longer_start(key) and (
+            self.tasks[key].why == "done" or self.direct.get(key, -1) < self.token)
+
     def uses_image(self, image: str, gb: float, cache_gb: float) -> None:
         self.images[image] = gb
         self.images.move_to_end(image)
@@ -161,6 +175,7 @@
                 if not job.cancelled and not machine.releasing and key not in machine.stops:
                     if direct:
                         machine.doubtful[key] = (token, now)
+                        machine.direct[key] = token
                     else:
                         machine.sent[key] = machine.report_sequence
                     commands.append(Command("start", *key))
@@ -172,13 +187,19 @@
     # already, and a start would then run it beside the one that takes its place.
     for key in [key for key in machine.stops if key not in claimed and key not in machine.tasks]:
         del machine.stops[key]
+    kept = False
     for key, task in machine.tasks.items():
         if key not in claimed:
             # no claim: its end is recorded, or it never had one; in neither case is it of use to anybody
             if task.state != "ended":
                 commands.append(Command("stop", *key))
-            elif machine.can_no_longer_start(key):
+            elif machine.may_be_cleared(key):
                 # guards against a late start that would run the attempt again once it is cleared
                 commands.append(Command("forget", *key))
                 machine.sent.pop(key, None)
+            else:
+                kept = True
+    machine.kept_since = (machine.kept_since or now) if kept else None
+    for key in [key for key in machine.direct if key not in claimed and key not in machine.tasks]:
+        del machine.direct[key]
     return commands
--- a/tidebend/service/ends.py
+++ b/tidebend/service/ends.py
@@ -29,6 +29,9 @@
 TRIED_ON = 3
 # the longest pause between two tries of such a job, in workers' leases
 LONGEST_PAUSE = 2.0
+# ended tasks that a repeated start could run again are kept on their machines for so many of the workers' leases at the
+# most; then a new token allows them to be cleared
+KEPT_LEASES = 8.0
 # so many of the machines on which a job failed are kept in mind
 MOST_MACHINES = 32
 # of so many such jobs the other controllers are told
@@ -180,14 +183,19 @@
         return new
 
     def _resolve_doubts(self) -> None:
-        """A direct start without an answer may be executed late: a new token puts an end to that."""
+        """A direct start without an answer may be executed late, and one that was answered may be repeated: a new token
+        puts an end to both. The second only keeps ended tasks from being cleared, so that it can wait."""
         now = time.monotonic()
         for grant in self.coordinator.grants():
             with self.fleet.lock:
                 doubt = any(token >= grant.token and now - at > self.settings.report_s
                             for machine in self.fleet.machines.values() if block_of(machine.zone) == grant.block
                             for token, at in machine.doubtful.values())
-            if doubt and now - grant.since > self.settings.report_s:
+                long = KEPT_LEASES * self.settings.lease_s
+                kept = now - grant.since > long and any(
+                    machine.kept_since is not None and now - machine.kept_since > long
+                    for machine in self.fleet.machines.values() if block_of(machine.zone) == grant.block)
+            if kept or doubt and now - grant.since > self.settings.report_s:
                 self.coordinator.raise_token(grant)
 
     def _ends_on(self, machine: Machine, grant: Grant, ends: dict[str, ProvenEnds]) -> None:
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -306,7 +306,9 @@
                 machine.idle_since = None
             elif machine.idle_since is None:
                 machine.idle_since = now
-        idle = [m for m in own if m.idle_since is not None and not m.tasks and not self.book.on_machine(m.name)]
+        # tasks that have ended may be kept on a machine, see `Machine.may_be_cleared`
+        idle = [m for m in own if m.idle_since is not None and not self.book.on_machine(m.name)
+                and all(task.state == "ended" for task in m.tasks.values())]
         doomed = []
         ordinary = [m for m in own if not m.spot and not m.draining]
         for machine in idle:
