--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -13,7 +13,7 @@
 from tests.test_scenarios import JOB
 from tidebend.bookkeeping.claims import Claim
 from tidebend.bookkeeping.jobs import Job
-from tidebend.protocol import parse_job
+from tidebend.protocol import TaskReport, parse_job
 from tidebend.service.ends import Setback
 
 ZONES = ["north", "south", "west"]
@@ -210,3 +210,15 @@
         assert first.planner.ends.at_fault(claimed, time.monotonic())
         world.now += 2.5 * 10.0
         assert not first.planner.ends.at_fault(claimed, time.monotonic())
+
+
+def test_a_gangs_replacement_avoids_the_machine_that_still_knows_its_attempt():
+    """Ended tasks are kept there for a while: chosen again and again, it refused what was to complete the gang."""
+    for world in busy(1, 1.0, 10.0):
+        first = world.controllers["n0"]
+        spec = parse_job({**JOB, "shape": "group", "pieces": 2})
+        gang = Job("req-g", 1, spec, 0.0).with_claims([Claim("vm-000001", 1, 1, 1, time.time(), "north")])
+        machine = first.fleet.machines["vm-000000"]
+        machine.tasks["req-g", 1, 1] = TaskReport("req-g", 1, 1, "ended", "error", False)
+        assert first.planner.waiting._know_the_attempt(gang) == {"vm-000000"}
+        assert not first.planner.waiting._know_the_attempt(Job("req-g", 1, spec, 0.0))
--- a/tidebend/service/waiting.py
+++ b/tidebend/service/waiting.py
@@ -124,7 +124,15 @@
                     largest_share(spec, list(self.types().values())),
                     job.since + self.settings.start_aims.get(spec.job_class, math.inf),
                     spec.gpus <= 0 and any(kind.gpus <= 0 and kind.fits(spec) for kind in self.types().values()),
-                    avoided=self.ends.avoided(job, now) if at_fault else frozenset())
+                    avoided=self.ends.avoided(job, now) if at_fault else self._know_the_attempt(job))
+
+    def _know_the_attempt(self, job: Job) -> frozenset[str]:
+        """Machines that still know the attempt of a gang's missing tasks: there no replacement would be started."""
+        if job.spec.kind != "gang" or not job.claims:
+            return frozenset()
+        keys = {(job.id, index, job.claims[0].attempt) for index in members(job.pending)}
+        with self.fleet.lock:
+            return frozenset(name for name, machine in self.fleet.machines.items() if keys & machine.tasks.keys())
 
     def _reserved_since(self, job: Job, value: Value, clock: float) -> float | None:
         """Since when a job keeps a standing reservation, if it does.
