One loop for what a machine no longer needs, one patience for refused requests

Found in a reread: what is to be stopped and what was started directly were pruned by two loops alike, and half a time-out of patience was worked out in two places. Behaviour is the same; two comments say what is so.

--- a/tidebend/bookkeeping/machines.py
+++ b/tidebend/bookkeeping/machines.py
@@ -185,8 +185,9 @@
                     commands.append(Command("stop", *key, grace))
     # What is to stop stays so for as long as it is claimed: that it hasn't been started may have been taken for its end
     # already, and a start would then run it beside the one that takes its place.
-    for key in [key for key in machine.stops if key not in claimed and key not in machine.tasks]:
-        del machine.stops[key]
+    for known in (machine.stops, machine.direct):
+        for key in [key for key in known if key not in claimed and key not in machine.tasks]:
+            del known[key]
     kept = False
     for key, task in machine.tasks.items():
         if key not in claimed:
@@ -200,6 +201,4 @@
             else:
                 kept = True
     machine.kept_since = (machine.kept_since or now) if kept else None
-    for key in [key for key in machine.direct if key not in claimed and key not in machine.tasks]:
-        del machine.direct[key]
     return commands
--- a/tidebend/scheduling/wants.py
+++ b/tidebend/scheduling/wants.py
@@ -51,7 +51,7 @@
     share: float = 1.0  # the largest of a machine that a task takes
     start_by: float = math.inf  # time of day by which its tasks should have started, by an aim of its class
     keeps_off_gpus: bool = False  # it can run without them, and so leaves them to those that can't
-    avoided: frozenset[str] = frozenset()  # machines on which it has just failed
+    avoided: frozenset[str] = frozenset()  # machines on which it has just failed, or that know its attempt
     moving: bool = False  # it still stands in a lost zone: room is held for it, and nothing of it starts yet
 
     @property
--- a/tidebend/storage/client.py
+++ b/tidebend/storage/client.py
@@ -47,9 +47,9 @@
         self._submissions = Budget(SUBMIT_SHARE * self.writes_per_s)
         self._pauses(limits)
         self.timeout = timeout
-        # Guards our lease against the others' requests: together they may take more than the service has, and what
-        # it refuses for that is tried again at once.
-        self._lease_patience_s = 0.5 * timeout
+        # Guards our lease, and users who wait for a read, against the others' requests: together they may take more
+        # than the service has, and what it refuses for that is tried again for so long.
+        self._patience_s = 0.5 * timeout
         self._refusals = Budget(REFUSED_SHARE * limits.rps)
         self._busy_until = -1e9  # steady time
         self.last_contact = -1e9  # steady time at which the last answered request was sent
@@ -150,10 +150,8 @@
     def changes(self, prefix: str, revision: int, wait_s: float,
                 kind: str) -> tuple[list[tuple[str, Any, int]], int] | None:
         """None if the revision is too old."""
-        # users wait for longer than this: what is refused for the rate is tried again meanwhile
-        patience = 0.0 if wait_s else 0.5 * self.timeout
         status, answer = self._call("GET", protocol.changes_path(prefix, revision, int(wait_s * 1000)), None, kind,
-                                    timeout=wait_s + self.timeout, patience=patience)
+                                    timeout=wait_s + self.timeout, patience=0.0 if wait_s else self._patience_s)
         if status == 410:
             return None
         if status != 200:
@@ -165,7 +163,7 @@
 
     def grant_lease(self, seconds: float) -> int:
         status, answer = self._call("POST", protocol.PATH_LEASES, protocol.lease_request(seconds), "lease",
-                                    patience=self._lease_patience_s)
+                                    patience=self._patience_s)
         if status != 200:
             raise Unknown(f"unexpected status {status}")
         try:
@@ -176,7 +174,7 @@
     def extend_lease(self, lease: int) -> bool:
         """False if the lease has ended."""
         status, _ = self._call("POST", protocol.lease_path(lease, "/extend"), None, "lease",
-                               patience=self._lease_patience_s)
+                               patience=self._patience_s)
         if status == 404:
             return False
         if status != 200:
--- a/tidebend/storage/mirror.py
+++ b/tidebend/storage/mirror.py
@@ -152,7 +152,7 @@
         service has for leases, claims and submissions.
         """
         poll_at = -1e9  # steady time from which a read for polls alone may begin
-        missed = 0  # reads for polls that failed in a row
+        missed = 0  # reads that failed in a row
         while True:
             with self._read:
                 while self._wanted <= self._begun:
