Workers are answered by the age of the last read, and stopped without a lease where jobs are known to be cancelled

Cause: a holder's leave to renew workers' leases went by its last contact with the state service, which a renewed lease, a failed comparison or a looked-up key moved on. None of these tells it what others have changed: while its watch hung, for up to a worker's lease, or its reads got no answer, it took itself for young and kept tasks alive whose cancellation had been confirmed elsewhere.

Change: Mirror.as_of, the time at which the last completed read began, is the only measure: for the staleness bound, for whether we are ready, for what peers are told. A watch waits for no longer than until our lease is renewed again, a quarter of a controller's lease instead of a worker's whole one. Without a lease of our own, reports and direct commands still stop what is known to be cancelled (it ran on until workers' leases ended). Stops stand ahead of starts, since an answer holds some hundreds of commands only.

The lab has hanging watches, reads without answers, late transactions, late copies of a share of reports, a slow state service.

--- a/lab/world.py
+++ b/lab/world.py
@@ -52,6 +52,13 @@
         self.late = []  # copies under way: (when, controller, report)
         self.repeats = []  # direct commands that are repeated: (until, how late)
         self.again = []  # repeats under way: (when, machine, path, body)
+        self.chance = random.Random(seed + 1)  # what befalls requests; the rest of a seed's day stays as it is
+        self.late_reports = []  # (until, share): of these reports a copy comes again, up to well over a lease late
+        self.late_writes = []  # (until, share): transactions that get no answer and are carried out 2 to 12 s later
+        self.under_way = []  # such transactions: (when, controller, path, body)
+        self.slow = []  # (until, share): requests to the state service whose answers come after the time-out
+        self.unread = {}  # controller -> until: its reads of changes are unanswered, all else is answered
+        self.hung_watch = {}  # controller -> until: the watch that it has open brings nothing, unnoticed
         self.saved = {}  # task, or gang -> seconds of progress that are safe
         self.lost = Counter()  # job -> seconds of work that were lost
         self.starts, self.stops = Counter(), Counter()  # job -> starts executed, tasks that left without being done
@@ -104,6 +111,8 @@
             if self.now < self.deaf.get(worker.name, -1.0):
                 raise version.no_answer("nothing comes back")
             side, zone, target = "workers", worker.zone, lambda: worker.direct(method, path, body)
+        if side == "state":
+            self.before_state(node, version, method, path, body)
         cut = self.cut_between(node, side, zone)
         if cut is not None:
             if cut.hold and method == "POST":
@@ -118,6 +127,26 @@
                            for until, late_s in self.repeats if self.now < until]
         return answer[0], json.loads(json.dumps(answer[1]))
 
+    def before_state(self, node, version, method, path, body):
+        """Troubles of requests to the state service other than cuts; raises for those without an answer."""
+        if path.startswith("/changes") and self.now < self.unread.get(node, -1.0):
+            raise version.no_answer("no answer to reads")
+        for rows, least, most in ((self.late_writes, 2.0, 12.0), (self.slow, 0.3, 3.0)):
+            share = max((share for until, share in rows if self.now < until), default=0.0)
+            if share and (rows is self.slow or path == "/multi") and self.chance.random() < share:
+                if method == "POST":
+                    when = self.now + self.chance.uniform(least, most)
+                    self.under_way.append((when, node, path, body))
+                raise version.no_answer("no answer in time")
+
+    def carry_out_late(self):
+        """What got no answer is carried out all the same, after newer requests; an outage keeps it until it's over."""
+        if self.now < self.state.down_until:
+            return
+        for row in [row for row in self.under_way if row[0] <= self.now]:
+            self.under_way.remove(row)
+            self.state.call(None, "POST", row[2], row[3])
+
     def to_controller(self, machine, node, method, path, body):
         """None: no answer."""
         controller = self.controllers.get(node)
@@ -151,6 +180,10 @@
             if self.now < row.until and row.machine in (None, machine):
                 self.late += [(self.now + row.late_s, to, report)
                               for to in (self.nodes if row.everywhere else [node])]
+        for until, share in self.late_reports:
+            if self.now < until and self.chance.random() < share:
+                to = self.chance.choice(self.nodes)
+                self.late.append((self.now + self.chance.uniform(2.0, 1.8 * self.lease_s), to, report))
 
     def deliver_copies(self):
         for row in [row for row in self.again if row[0] <= self.now]:
@@ -260,8 +293,9 @@
             controller.coordinator.keep_lease()
         quiet = self.versions[node].quiet
         if turn % 2 == 0:
-            self._quietly(quiet, lambda: controller.mirror.catch_up(0.0, "claim"))
-            controller.mirror.watched = self.steady  # as the watch would
+            if self.now >= self.hung_watch.get(node, -1.0):
+                self._quietly(quiet, lambda: controller.mirror.catch_up(0.0, "claim"))
+                controller.mirror.watched = self.steady  # as the watch would
             controller.coordinator.tend_blocks()
         if turn % 3 == 0 and controller.mirror.loaded.is_set():
             self._quietly(quiet, controller.planner.mapping_event)
@@ -280,6 +314,14 @@
         if turn % 10 == 0:
             self._quietly(quiet, controller.rentals.lead_once)
 
+    def hang_watch(self, node):
+        """The watch that a controller has open brings nothing from now on, for as long as the controller waits."""
+        controller = self.controllers.get(node)
+        if controller is not None:
+            mirror = controller.mirror
+            waits_s = getattr(mirror, "watch_s", None) or mirror._watch_s  # the latter: in the version in production
+            self.hung_watch[node] = self.now + waits_s + controller.state.timeout
+
     @staticmethod
     def _quietly(quiet, step):
         with contextlib.suppress(*quiet):
@@ -307,6 +349,7 @@
             for request in cut.held:
                 request()  # delivered late, in order
         self.deliver_copies()
+        self.carry_out_late()
         self.state.step()
         self.cloud.step()
         for number, node in enumerate(self.nodes):
--- /dev/null
+++ b/tests/test_meetings.py
@@ -0,0 +1,173 @@
+"""Meetings of two troubles: one after the other hides from a holder what the first has changed."""
+
+import random
+from dataclasses import replace
+
+import pytest
+
+from lab.checker import breaches
+from lab.links import Cut
+from lab.world import World
+from tests.test_guards import TYPES
+from tests.test_scenarios import JOB
+from tests.test_troubles import TEAMS, ZONES, busy
+from tidebend.bookkeeping.claims import Claim
+from tidebend.bookkeeping.jobs import Job
+from tidebend.bookkeeping.machines import Machine, orders
+from tidebend.protocol import TaskReport, parse_job
+
+REPORT, CONTROLLER, WORKER = 1.0, 3.5, 10.0  # seconds: a report's interval, a controller's lease, a worker's
+
+
+def leader_of(world):
+    return world.state.items["tidebend/live/leader"][0]["node"]
+
+
+def refused_then_down(world, refused_s, gap_s, outage_s, how="refuse"):
+    """The state service refuses the leader alone, jobs are cancelled through another, then it is down for all."""
+    leader = leader_of(world)
+    other = world.next_node(leader)
+    if how == "refuse":
+        world.state.refuses[leader] = world.now + refused_s
+    else:
+        world.cuts.append(Cut(leader, "state", world.now + refused_s, how == "hold"))
+    world.cuts.append(Cut(leader, "users", world.now + refused_s + gap_s + outage_s, False))
+    world.hang_watch(leader)
+    outage_at = world.now + gap_s
+    names = [name for name in world.jobs if name.startswith("req-c") and world.answers[name][1] != "withdrawn"]
+    told = 0
+    while world.now < outage_at:
+        if names and world.now > outage_at - gap_s * (1 - told / 3) - 0.05:
+            name = names.pop()
+            told += 1
+            world.log.append((world.now, "asked", "cancel", name, None))
+            world.user("cancel", name, other)
+        world.step()
+    world.state.down(world.now + outage_s)
+    return leader, other
+
+
+@pytest.mark.parametrize(("refused_s", "gap_s", "outage_s", "how", "also"), [
+    (0.5 * REPORT, 0.2, 40.0, "refuse", ""), (REPORT, 0.3, 40.0, "refuse", ""), (3 * REPORT, 2.0, 40.0, "refuse", ""),
+    (0.8 * CONTROLLER, 2.0, 60.0, "refuse", ""), (CONTROLLER, 3.0, 60.0, "refuse", ""),
+    (2 * CONTROLLER, 4.0, 60.0, "refuse", ""), (0.9 * WORKER, 8.0, 60.0, "refuse", ""),
+    (1.5 * WORKER, WORKER, 60.0, "refuse", ""), (14.0, 2.0, 20.0, "refuse", ""), (14.0, 2.0, 30.0, "refuse", ""),
+    (14.0, 2.0, 51.0, "refuse", "twice"), (14.0, 2.0, 51.0, "reset", ""), (14.0, 2.0, 51.0, "hold", ""),
+    (14.0, 2.0, 51.0, "refuse", "the other ends"), (14.0, 2.0, 51.0, "refuse", "frozen"),
+    (14.0, 2.0, 51.0, "refuse", "alone with its workers"), (14.0, 2.0, 51.0, "refuse", "unread before")])
+def test_what_is_cancelled_elsewhere_is_gone_in_time_though_nothing_is_read(refused_s, gap_s, outage_s, how, also):
+    """Its holder answers workers for no longer than `answer_bound_s` after its last read."""
+    random.seed(1)
+    world = World(1, ZONES, TEAMS, [{**TYPES[0], "harbors": ZONES}])
+    for zone in ZONES:
+        world.cloud.capacity["box", zone, False] = 2
+        for _ in range(2):
+            world.cloud.add("box", zone, False, -50.0)
+    shapes = ({"shape": "service", "pieces": 3, "reckonS": 0.0, "driftwood": False},
+              {"shape": "group", "pieces": 2, "run_s": 400.0, "markS": 5.0, "stowS": 2.0},
+              {"pieces": 6, "run_s": 300.0})
+    for number in range(6):
+        world.submit(f"req-c{number}", **{**JOB, **shapes[number % 3], "vcpus": 0.5, "harbor": "west"})
+    world.submit("req-long", **{**JOB, "pieces": 4, "vcpus": 1.0, "run_s": 40.0})
+    with world.clock():
+        for _ in range(150):
+            world.step()
+        assert world.zone_of(leader_of(world)) == "west"  # where they are
+        for _ in range(2 if also == "twice" else 1):
+            leader = leader_of(world)
+            if also == "unread before":
+                world.unread[leader] = world.now + 20.0
+                for _ in range(60):
+                    world.step()
+            if also == "alone with its workers":
+                world.cuts.append(Cut(leader, "peers", world.now + 80.0, False))
+                for node in world.nodes:
+                    if node != leader:
+                        world.cuts.append(Cut(node, "workers", world.now + 80.0, False))
+            leader, other = refused_then_down(world, refused_s, gap_s, outage_s, how)
+            if also == "the other ends":
+                world.crash(other, 0.3)
+            if also == "frozen":
+                world.frozen[leader] = world.now + 12.0
+            for _ in range(round(10 * (outage_s + 25.0))):
+                world.step()
+        for _ in range(900):
+            world.step()
+    assert not breaches(world.log, world.jobs, TEAMS, world.cancel_s, world.completed)
+    told = {name: world.answers[name][1] for name in world.jobs}
+    assert told["req-long"] == "done"
+    assert 1 <= list(told.values()).count("withdrawn") <= 6 and told["req-c0"] in ("running", "withdrawn")
+
+
+def test_machines_that_reported_through_an_outage_are_not_given_back_when_it_is_over():
+    """Their reports were refused once our last read was too old, and then they counted as silent: of a fleet that had
+    come through, most machines were given back in the first moment after the outage."""
+    for world in busy(1, 1.0, 10.0):
+        used = {worker.name for worker in world.workers.values() if worker.tasks}
+        world.state.down(world.now + 60.0)
+        for _ in range(900):
+            world.step()
+        assert used <= world.workers.keys() and world.answers["req-a"][1] == "running"
+
+
+def test_an_answered_request_that_is_no_read_makes_the_cache_no_younger():
+    """Renewals, writes and looked-up keys were taken for contact; none of them tells what others have changed."""
+    for world in busy(1, 1.0, 10.0):
+        first = world.controllers["n0"]
+        began = first.mirror.as_of
+        world.unread["n0"] = world.now + 100.0
+        world.steady += 5.0
+        assert first.coordinator.keep_lease()
+        first.state.get("tidebend/final/req-none")
+        first.ledger.change("req-a", lambda job, _: job, {})
+        assert first.mirror.as_of == began and first.mirror.age_s >= 5.0
+        del world.unread["n0"]
+        before = world.steady
+        first.mirror.catch_up(0.0, "claim")
+        assert first.mirror.as_of == before
+
+
+def test_a_read_counts_from_when_it_began_however_long_it_took():
+    """A watch proves what it began with: what was confirmed while it hung may be missing from its answer."""
+    for world in busy(1, 1.0, 10.0):
+        first = world.controllers["n0"]
+        changes = first.state.changes
+
+        def slow(prefix, revision, wait_s, kind, changes=changes, world=world):
+            answer = changes(prefix, revision, wait_s, kind)
+            world.steady += 4.0
+            return answer
+
+        first.state.changes = slow
+        before = world.steady
+        first.mirror.catch_up(0.0, "claim")
+        assert first.mirror.as_of == before and first.mirror.age_s >= 4.0
+
+
+def test_stops_come_before_hundreds_of_starts():
+    """An answer holds a few hundred commands: stops of what is cancelled stood behind starts and were cut off."""
+    small = {**JOB, "pieces": 400, "vcpus": 0.01, "memoryGb": 0.01}
+    waiting = Job("a", 1, parse_job(small), 0.0).with_claims([Claim("vm-000000", 1, 1, (1 << 400) - 1, 0.0, "north")])
+    over = Job("b", 1, parse_job(small), 0.0, cancelled=True).with_claims([Claim("vm-000000", 1, 1, 1, 0.0, "north")])
+    machine = Machine("vm-000000", "box", "north", False, session=1, token=5)
+    machine.tasks = {("b", 0, 1): TaskReport("b", 0, 1, "running", None, False)}
+    claims = [(job, claim) for job in (waiting, over) for claim in job.claims]
+    commands = orders(machine, claims, 5, direct=False)
+    assert (commands[0].op, commands[0].job) == ("stop", "b") and len(commands) == 401
+
+
+def test_without_a_lease_only_what_is_cancelled_is_commanded():
+    """A report was answered without any command while our lease had run out, and cancelled tasks ran on."""
+    for world in busy(1, 1.0, 10.0):
+        first = world.controllers["n0"]
+        worker = next(worker for worker in world.workers.values() if worker.zone == "north")
+        world.state.down(world.now + 60.0)
+        while first.coordinator.lease_valid:
+            world.step()
+        first.fleet.machines[worker.name].stops[next(iter(first.fleet.machines[worker.name].tasks))] = 0.0
+        answer = world.to_controller(worker.name, "n0", "POST", "/v1/report", worker.body())
+        assert answer[0] == 200 and answer[1]["orders"] == []
+        record = replace(first.book.get("req-a"), cancelled=True)
+        first.mirror.apply([(record.key, record.pack(), 10**9)])
+        answer = world.to_controller(worker.name, "n0", "POST", "/v1/report", worker.body())
+        assert answer[1]["orders"] and {row["order"] for row in answer[1]["orders"]} == {"kill"}
--- a/tests/test_polls.py
+++ b/tests/test_polls.py
@@ -29,7 +29,7 @@
 
 @pytest.fixture
 def mirror():
-    made = Mirror(Counted(), lambda *row: None, threading.RLock(), 1.0)
+    made = Mirror(Counted(), lambda *row: None, threading.RLock(), 1.0, 1.0)
     made.catch_up(0.0, "claim")
     threading.Thread(target=made._reader, daemon=True).start()
     return made
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -112,6 +112,8 @@
         elif what == "cancel":
             world.cancel(rest[0])
         elif what == "ask":  # a single request: poll, submit or cancel, of a certain node
+            if rest[0] == "cancel":
+                world.log.append((world.now, "asked", "cancel", rest[1], None))
             world.user(rest[0], rest[1], rest[2])
         elif what == "crash":
             for node in world.nodes if rest[0] == "all" else [rest[0]]:
@@ -147,6 +149,16 @@
                                        float(rest[2]), "everywhere" in rest))
         elif what == "repeats":  # SECONDS LATE: direct commands are carried out again so much later
             world.repeats.append((world.now + float(rest[0]), float(rest[1])))
+        elif what == "late_reports":  # SECONDS SHARE: copies of these come again, up to well over a lease later
+            world.late_reports.append((world.now + float(rest[0]), float(rest[1])))
+        elif what == "late_writes":  # SECONDS SHARE: these transactions get no answer and are carried out later
+            world.late_writes.append((world.now + float(rest[0]), float(rest[1])))
+        elif what == "slow":  # SECONDS SHARE: the state service's answers to these come after the time-out
+            world.slow.append((world.now + float(rest[0]), float(rest[1])))
+        elif what == "unread":  # NODE SECONDS: its reads of changes get no answer, its other requests do
+            world.unread[rest[0]] = world.now + float(rest[1])
+        elif what == "hang_watch":  # NODE: its open watch brings nothing, for as long as it waits
+            world.hang_watch(rest[0])
         elif what == "freeze":  # NODE SECONDS: stands still while its clocks run on
             world.frozen[rest[0]] = world.now + float(rest[1])
         elif what == "sick":
--- a/tidebend/bookkeeping/machines.py
+++ b/tidebend/bookkeeping/machines.py
@@ -155,8 +155,19 @@
             return list(self.machines.values())
 
 
+def cancelled_stops(machine: Machine, claims: list) -> list[Command]:
+    """Stops of what is known to be cancelled; called under the fleet's lock.
+
+    A cancelled job stays cancelled, whoever holds the block by now, so that they are safe with every token that the
+    worker still takes: also while our own lease has run out and nothing else may be commanded.
+    """
+    return [Command("stop", job.id, index, claim.attempt, 0.0) for job, claim in claims
+            if job.cancelled and claim.session == machine.session for index in members(claim.tasks)
+            if (task := machine.tasks.get((job.id, index, claim.attempt))) is not None and task.state != "ended"]
+
+
 def orders(machine: Machine, claims: list, token: int, direct: bool) -> list[Command]:
-    """Commands for a worker, from the recorded claims; called under the fleet's lock.
+    """Commands for a worker, from the recorded claims, stops first; called under the fleet's lock.
 
     `claims` holds (job, claim) pairs on this machine, read after the report came. Every start is repeated until
     the task is seen: a claim that is still recorded was never cleared, so the worker runs the attempt only once.
@@ -201,4 +212,5 @@
             else:
                 kept = True
     machine.kept_since = (machine.kept_since or now) if kept else None
-    return commands
+    # Guards stops against hundreds of starts ahead of them: an answer holds so many commands only.
+    return sorted(commands, key=lambda command: command.op != "stop")
--- a/tidebend/coordination/peers.py
+++ b/tidebend/coordination/peers.py
@@ -22,7 +22,7 @@
     """What a peer told us last."""
 
     at: float = -1e9
-    state_contact: float = -1e9  # time of day of its last contact with the state service
+    as_of: float = -1e9  # time of day at which its last completed read of the state service began
     machines: list[list[Any]] | None = None
     blocks: frozenset[str] = frozenset()  # those it holds
     # what the version in production doesn't tell:
@@ -54,7 +54,7 @@
         if news is None:
             return
         try:
-            news.state_contact = float(frame["state_contact"])
+            news.as_of = float(frame["state_contact"])  # named as the version in production does
             news.machines = list(frame["machines"])
             news.blocks = frozenset(frame["held"])
             news.at_fault = frozenset(frame.get("at_fault", ()))
--- a/tidebend/service/controller.py
+++ b/tidebend/service/controller.py
@@ -45,7 +45,10 @@
         self.state = StateClient(settings.state, settings.state_limits, settings.controllers,
                                  max(0.6, settings.controller_lease_s / 4.0), connect)
         self.book = JobBook(lock, KEEP_FINALS)
-        self.mirror = Mirror(self.state, self._changed, lock, watch_s=settings.lease_s)
+        # A watch that hangs unnoticed keeps the cache old for its whole time, so it waits for no longer than until our
+        # lease is renewed again: no more requests than the renewals make.
+        self.mirror = Mirror(self.state, self._changed, lock, watch_s=settings.controller_lease_s / 4.0,
+                             retry_s=0.1 * settings.lease_s)
         self.fleet = Fleet()
         self.dispatcher = Dispatcher(settings, self.book, self.fleet, lambda: self.planner.wake(), connect)
         self.formats = Formats(settings, self.state, self.mirror)
@@ -65,7 +68,7 @@
         self.users = Users(settings, self.state, self.mirror, self.book, self.ledger, self.formats, self._types,
                            self.planner.wake)
         self.planner.look_up = self.users.look_up
-        self.workers = Workers(settings, self.state, self.book, self.fleet, self.coordinator, self.planner.wake,
+        self.workers = Workers(settings, self.mirror, self.book, self.fleet, self.coordinator, self.planner.wake,
                                self.witness.came)
 
     def _types(self) -> dict[str, protocol.MachineType]:
@@ -83,16 +86,12 @@
         else:
             self.coordinator.wake.set()
 
-    def _contact(self) -> float:
-        """Time of day of the last contact with the state service."""
-        return time.time() - (time.monotonic() - self.state.last_contact)
-
     def news(self) -> dict[str, Any]:
         machines = [[m.name, m.type, m.zone, int(m.spot), 0, *(m.address or ("", 0)), m.session]
                     for m in self.fleet.all()
                     if not m.draining and not m.releasing and self.coordinator.grant(block_of(m.zone))]
         machines += [[name, "", "", 0, 1, "", 0, 0] for name in list(self.rentals.gone_news)]
-        frame = {"from": self.settings.name, "state_contact": self._contact(), "machines": machines,
+        frame = {"from": self.settings.name, "state_contact": time.time() - self.mirror.age_s, "machines": machines,
                  "held": [grant.block for grant in self.coordinator.grants()], "blocks": self.coordinator.table()}
         if self.formats.pipelines:
             frame.update(at_fault=self.planner.ends.found_at_fault(), came=self.witness.came_ago())
@@ -115,10 +114,10 @@
         if not self._knows():
             return False
         bound = self.settings.controller_lease_s
-        if time.monotonic() - self.state.last_contact <= bound:
+        if self.mirror.age_s <= bound:
             return True
         now = time.monotonic()
-        others = [time.time() - peer.state_contact <= bound + self.settings.clock_off_s
+        others = [time.time() - peer.as_of <= bound + self.settings.clock_off_s
                   for peer in self.link.peers.values() if now - peer.at <= bound]
         return not any(others)
 
--- a/tidebend/service/workers.py
+++ b/tidebend/service/workers.py
@@ -12,13 +12,13 @@
 
 from tidebend import protocol
 from tidebend.bookkeeping.book import JobBook
-from tidebend.bookkeeping.machines import Fleet, orders
+from tidebend.bookkeeping.machines import Fleet, cancelled_stops, orders
 from tidebend.coordination import Coordinator, Grant, PeerLink, block_of
 from tidebend.protocol import Invalid, Report
 from tidebend.service import sockets
 from tidebend.service.users import parse_body, unsure
 from tidebend.settings import Settings
-from tidebend.storage import StateClient
+from tidebend.storage import Mirror
 from tidebend.transport import HttpClient, NoAnswer, Reply, Unreachable
 
 log = logging.getLogger("workers")
@@ -33,12 +33,12 @@
 
 
 class Workers:
-    def __init__(self, settings: Settings, state: StateClient, book: JobBook, fleet: Fleet,
+    def __init__(self, settings: Settings, mirror: Mirror, book: JobBook, fleet: Fleet,
                  coordinator: Coordinator, wake: Callable[[], None],
                  came: Callable[[str], None]) -> None:
         self.settings = settings
         self.came = came
-        self.state = state
+        self.mirror = mirror
         self.book = book
         self.fleet = fleet
         self.coordinator = coordinator
@@ -89,22 +89,26 @@
             if holder is None or holder == self.settings.name:
                 return unsure("no holder")
             return Reply(421, protocol.report_elsewhere(holder))
-        if time.monotonic() - self.state.last_contact > self.settings.answer_bound_s:
-            # somebody may have been told meanwhile that a job is cancelled, whose tasks we would keep alive
-            return unsure("out of touch with the state service")
+        # Bounded staleness: somebody may have been told since our last read that a job is cancelled, whose tasks an
+        # answer would keep alive. What the report says is taken over all the same. Guards a fleet that reported
+        # throughout and was given back for its silence as soon as the state service was there again.
+        stale = self.mirror.age_s > self.settings.answer_bound_s
         with self.fleet.lock:
             before = self.fleet.machines.get(report.machine)
             seen = {key: task.state for key, task in before.tasks.items()} if before else None
-            machine = self.fleet.heard(report, token=grant.token)
+            machine = self.fleet.heard(report, token=0 if stale else grant.token)
             if machine is None:
                 return unsure("a late report")
             changed = seen != {key: task.state for key, task in machine.tasks.items()}
             commands = []
-            if self.coordinator.lease_valid:
-                commands = orders(machine, self.book.on_machine(machine.name), grant.token,
-                                  direct=False)[:MOST_COMMANDS]
+            if not stale:
+                claims = self.book.on_machine(machine.name)
+                commands = (orders(machine, claims, grant.token, direct=False) if self.coordinator.lease_valid
+                            else cancelled_stops(machine, claims))[:MOST_COMMANDS]
         if changed:
             self.wake()
+        if stale:
+            return unsure("the last read of the state service is too old")
         return Reply(200, protocol.report_answer(grant.token, commands))
 
 
@@ -195,18 +199,23 @@
 
     def _deliver(self, name: str, zone: str, session: int, client: HttpClient) -> None:
         grant = self.coordinator.grant(block_of(zone))
-        if grant is None or not self.coordinator.lease_valid:
+        if grant is None:
             return
+        valid = self.coordinator.lease_valid
         with self.fleet.lock:
             machine = self.fleet.machines.get(name)
             commands = []
+            silent = False
             if machine is not None:
                 session = machine.session
+                claims = self.book.on_machine(name)
                 if machine.token <= grant.token:
-                    commands = orders(machine, self.book.on_machine(name), grant.token, direct=True)[:MOST_COMMANDS]
+                    commands = (orders(machine, claims, grant.token, direct=True) if valid
+                                else cancelled_stops(machine, claims))[:MOST_COMMANDS]
                 silent = time.monotonic() - machine.heard > 2.0 * self.settings.report_s
-                if not commands and machine.token >= grant.token and not silent:
-                    return
+            # without a lease nothing but those stops goes out, not even our token
+            if not commands and (not valid or machine is not None and machine.token >= grant.token and not silent):
+                return
         mine = {(c.job, c.index, c.attempt) for c in commands if c.op == "start"}
         path, body = protocol.direct_commands(grant.token, session, commands)
         try:
--- a/tidebend/settings.py
+++ b/tidebend/settings.py
@@ -97,7 +97,7 @@
 
     @property
     def answer_bound_s(self) -> float:
-        """How long after its last contact with the state service a holder may go on answering workers.
+        """The staleness bound: how old a holder's last read of the state service may be while it answers workers.
 
         Whoever told a user "cancelled" must see the machine's tasks end within `cancel_s`; a worker that
         nobody answers needs `lease_s` for that. The margin covers clock drift and a report in flight.
--- a/tidebend/storage/client.py
+++ b/tidebend/storage/client.py
@@ -52,7 +52,6 @@
         self._patience_s = 0.5 * timeout
         self._refusals = Budget(REFUSED_SHARE * limits.rps)
         self._busy_until = -1e9  # steady time
-        self.last_contact = -1e9  # steady time at which the last answered request was sent
 
     def _pauses(self, limits: Limits) -> None:
         self.watch_pause_s = self._controllers / (WATCH_SHARE * limits.rps)
@@ -82,7 +81,6 @@
         while True:
             if self._requests.take(1.0, floor):
                 if not writes or self._writes.take(writes, floor):
-                    sent = time.monotonic()
                     try:
                         status, answer = self._http.request(method, path, body, timeout or self.timeout)
                     except Unreachable as error:
@@ -101,7 +99,6 @@
             time.sleep(random.uniform(0.5, 1.5) / self._requests.rate)
         if status == 503:
             raise Unavailable("refused")
-        self.last_contact = max(self.last_contact, sent)
         return status, answer
 
     def transact(self, conditions: dict[str, int], writes: list[Write], kind: str = "claim",
--- a/tidebend/storage/mirror.py
+++ b/tidebend/storage/mirror.py
@@ -30,13 +30,18 @@
     KEEP_TOMBSTONES = 2000
 
     def __init__(self, state: StateClient, on_change: Callable[[str, Any, int], None],
-                 lock: threading.RLock, watch_s: float) -> None:
+                 lock: threading.RLock, watch_s: float, retry_s: float) -> None:
         self.state = state
         self.lock = lock
         self.loaded = threading.Event()
         self.watched = -1e9  # steady time at which the watch last brought an answer
+        # Steady time at which the last completed read began: what was confirmed to anybody before that is in the cache,
+        # what came later need not be. Nothing else makes the cache younger: not a renewed lease, not a write of ours,
+        # not a watch that still waits, which proves no more than what it began with.
+        self.as_of = -1e9
         self._on_change = on_change
-        self._watch_s = watch_s
+        self.watch_s = watch_s  # for so long a watch waits
+        self._retry_s = retry_s  # after one that failed the next begins this much later, give or take half
         self._items: dict[str, tuple[Any, int]] = {}
         self._gone: OrderedDict[str, int] = OrderedDict()
         self._revision = 0
@@ -123,26 +128,35 @@
         self.loaded.set()
 
     def catch_up(self, wait_s: float, kind: str) -> None:
+        began = time.monotonic()
         with self.lock:
             revision = self._revision
         result = self.state.changes(PREFIX, revision, wait_s, kind) if self.loaded.is_set() else None
         if result is None:
+            began = time.monotonic()
             self._load()
-            return
-        rows, newest = result
+        else:
+            rows, newest = result
+            with self.lock:
+                self.apply(rows)
+                self._revision = max(self._revision, newest)
         with self.lock:
-            self.apply(rows)
-            self._revision = max(self._revision, newest)
+            self.as_of = max(self.as_of, began)
+
+    @property
+    def age_s(self) -> float:
+        """How long ago the last completed read began: the staleness of the cache."""
+        return time.monotonic() - self.as_of
 
     def _watch(self) -> None:
         while True:
             try:
-                self.catch_up(self._watch_s, "claim")
+                self.catch_up(self.watch_s, "claim")
                 self.watched = time.monotonic()
                 time.sleep(self.state.watch_pause_s)
             except (Unavailable, Unknown) as error:
                 log.info("watch: %s", error)
-                time.sleep(random.uniform(0.05, 0.15) * self._watch_s)
+                time.sleep(random.uniform(0.5, 1.5) * self._retry_s)
 
     def _reader(self) -> None:
         """Reads on demand, one at a time, each for all that wait when it begins.
