A controller's announcement is conditional on the one before and made anew until it stands

Cause: of all transactions it alone had no condition. Carried out late it put an old list of unheard blocks over a newer one, for good, or hung the record on a former process's lease. One that failed after a new lease wasn't repeated: its controller renewed the lease and got no block.

Change: it compares what was there and is checked with each renewal, from the cache.

Tests: three in tests/test_meetings.py; each fails with the code before.

--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -171,3 +171,55 @@
         first.mirror.apply([(record.key, record.pack(), 10**9)])
         answer = world.to_controller(worker.name, "n0", "POST", "/v1/report", worker.body())
         assert answer[1]["orders"] and {row["order"] for row in answer[1]["orders"]} == {"kill"}
+
+
+def first_of(world):
+    return world.controllers["n0"]
+
+
+def test_an_announcement_that_is_carried_out_late_changes_nothing():
+    """It had no condition: an old list of unheard blocks stood for good, and the block went to who hears nothing either."""
+    for world in busy(1, 1.0, 10.0):
+        first, key = first_of(world), "tidebend/live/node/n0"
+        first.mirror.catch_up(0.0, "claim")
+        world.late_writes.append((world.now + 1.0, 1.0))
+        first.coordinator.unheard("south.0", 6, 30.0)
+        world.late_writes.clear()
+        assert len(world.under_way) == 1 and world.state.items[key][0]["unheard"] == []
+        first.coordinator.hears("south.0")
+        first.coordinator.unheard("west.0", 6, 30.0)
+        for _ in range(150):
+            world.step()
+        assert not world.under_way and world.state.items[key][0]["unheard"] == ["west.0"]
+
+
+def test_an_announcement_that_failed_is_made_with_the_next_renewal():
+    """A new lease without an announcement was renewed for ever, and its controller got no block."""
+    for world in busy(1, 1.0, 10.0):
+        first = first_of(world)
+        lease, first.coordinator.lease = first.coordinator.lease, None
+        world.state.end(lease)
+        world.late_writes.append((world.now + 0.05, 1.0))
+        first.coordinator.keep_lease()
+        world.late_writes.clear()
+        world.under_way.clear()
+        assert "tidebend/live/node/n0" not in world.state.items
+        assert first.coordinator.keep_lease()
+        assert world.state.items["tidebend/live/node/n0"][0]["lease"] == first.coordinator.lease
+
+
+def test_a_former_processs_announcement_does_not_outlive_it():
+    """Carried out after its successor's, it hung the record on the former lease, with which it went away."""
+    for world in busy(1, 1.0, 10.0):
+        first, key = first_of(world), "tidebend/live/node/n0"
+        world.late_writes.append((world.now + 1.0, 1.0))
+        first.coordinator.unheard("south.0", 6, 30.0)
+        world.late_writes.clear()
+        world.crash("n0", 0.1)
+        while key not in world.state.items or world.state.items[key][0]["lease"] == first.coordinator.lease:
+            world.step()
+        world.under_way = [(world.now, *row[1:]) for row in world.under_way]
+        for _ in range(150):
+            world.step()
+            assert key in world.state.items
+        assert world.state.items[key][0]["lease"] == first_of(world).coordinator.lease
--- a/tidebend/coordination/coordinator.py
+++ b/tidebend/coordination/coordinator.py
@@ -66,14 +66,14 @@
     def keep_lease(self) -> bool:
         began = time.monotonic()
         try:
-            if self._unheard and min(self._unheard.values()) < began:
-                self._announce()
             if self.lease is None or not self.state.extend_lease(self.lease):
                 if self.lease is not None:
                     log.info("lease %s has ended", self.lease)
                 self.lease = self.state.grant_lease(self._lease_s)
                 self._renewed = time.monotonic()
-                self._announce()
+            # Each time, from what the state service has: guards an announcement that got no answer or was refused, and
+            # whatever a former process of ours left behind.
+            self._announce()
         except NoSuchLease:
             self.lease = None
             return False
@@ -85,10 +85,24 @@
         return True
 
     def _announce(self) -> None:
+        """Have our record say what it should; nothing is sent if it does.
+
+        Conditional on what was there. Guards against an announcement without an answer that is carried out late: it put
+        an old list of unheard blocks, or a former process's lease, in the place of newer ones, for good.
+        """
         now = time.monotonic()
         self._unheard = {block: until for block, until in self._unheard.items() if until > now}
+        key = NODE + self.settings.name
         value = {"lease": self.lease, "zone": self.settings.zone, "unheard": sorted(self._unheard)}
-        self.state.transact({}, [(NODE + self.settings.name, value, self.lease)], "lease")
+        for again in (True, False):
+            there, version = self.mirror.get(key)
+            if there == value:
+                return
+            try:
+                self.mirror.write({key: version}, [(key, value, self.lease)], "lease")
+            except Conflict:
+                if not again or not self.mirror.barrier(self.state.timeout, "claim"):
+                    raise
 
     @property
     def lease_valid(self) -> bool:
