A peer's frame is taken over as a whole or not at all

Cause: one whose 'came' is no map ended its connection's thread; others that can't be read were taken over by half.

--- a/tidebend/coordination/peers.py
+++ b/tidebend/coordination/peers.py
@@ -53,17 +53,19 @@
         news = self.peers.get(frame.get("from", ""))
         if news is None:
             return
+        now = time.monotonic()
         try:
-            news.as_of = float(frame["state_contact"])  # named as the version in production does
-            news.machines = list(frame["machines"])
-            news.blocks = frozenset(frame["held"])
-            news.at_fault = frozenset(frame.get("at_fault", ()))
-            now = time.monotonic()
-            news.came = {block: now - float(ago) for block, ago in frame.get("came", {}).items()}
-            news.at = time.monotonic()
+            as_of = float(frame["state_contact"])  # named as the version in production does
+            machines, blocks = list(frame["machines"]), frozenset(frame["held"])
+            at_fault = frozenset(frame.get("at_fault", ()))
+            came = {block: now - float(ago) for block, ago in frame.get("came", {}).items()}
             self._told(frame["blocks"])
-        except (KeyError, TypeError, ValueError) as error:
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
             log.error("peer frame: %r", error)
+            return
+        # all of it or nothing: a frame that can't be read isn't half taken over
+        news.as_of, news.machines, news.blocks, news.at_fault, news.came = as_of, machines, blocks, at_fault, came
+        news.at = now
 
     def at_fault(self) -> frozenset[str]:
         """Jobs that failed wherever some other controller tried them, by news that is no older than a lease."""
