--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -43,10 +43,10 @@
 
 
 class Scenario:
-    def __init__(self, path, seed=1):
+    def __init__(self, path, seed=None):
         self.zones, self.teams, self.types = ["north", "south", "west"], [], []
         self.capacity, self.machines, self.events, self.expected = [], [], [], []
-        self.length, self.seed = 90.0, seed
+        self.length, self.seed = 90.0, 1
         self.production, self.next_limits = [], {}
         for line in path.read_text().splitlines():
             words = line.partition("#")[0].split()
@@ -62,6 +62,8 @@
                 self.events.append((float(words[0]), words[1:]))
             elif words[0] == "run":
                 self.length = float(words[1])
+            elif words[0] == "seed":  # one that shows what the scenario guards against, where the first doesn't
+                self.seed = int(words[1])
             elif words[0] == "production":  # nodes that begin with the version in production
                 self.production = words[1:]
             elif words[0] == "next":  # limits of the state service that the settings announce
@@ -79,6 +81,7 @@
                 self.machines.append((int(words[1]), words[2], words[3], "spot" in words[4:]))
             else:
                 raise ValueError(f"{path.name}: {line}")
+        self.seed = self.seed if seed is None else seed
         self.teams = self.teams or [{"name": "team", "cpus": 16.0, "cpus_max": 64.0, "gpus": 0.0, "gpus_max": 0.0}]
         self.types = self.types or [{"name": "box", "vcpus": 8.0, "accelerators": 0.0, "memoryGb": 32.0,
                                      "localGb": 50.0, "fetchGbPerS": 1.0, "price": 1.0, "spotPrice": 0.4,
@@ -155,6 +158,8 @@
             world.late_writes.append((world.now + float(rest[0]), float(rest[1])))
         elif what == "slow":  # SECONDS SHARE: the state service's answers to these come after the time-out
             world.slow.append((world.now + float(rest[0]), float(rest[1])))
+        elif what == "held_up":  # SECONDS SHARE: of commands and answers; they come seconds later, machines go on
+            world.held_up.append((world.now + float(rest[0]), float(rest[1])))
         elif what == "unread":  # NODE SECONDS: its reads of changes get no answer, its other requests do
             world.unread[rest[0]] = world.now + float(rest[1])
         elif what == "hang_watch":  # NODE: its open watch brings nothing, for as long as it waits
