A renewed lease holds though the announcement beside it is refused

Cause: renewal and announcement were one step, so that a lease the state service had renewed counted as lost here while our changes were refused for their rate; since announcements are checked with each renewal this could last. Change: the lease is trusted from the renewal on; the announcement is tried again soon. Test: test_a_lease_that_was_renewed_holds_though_the_announcement_is_refused, fails with the code before.

--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -249,3 +249,15 @@
         for _ in range(round(10 * cancel_s)):
             world.step()
         assert {worker.name: worker.session for worker in world.workers.values() if worker.name in sessions} == sessions
+
+
+def test_a_lease_that_was_renewed_holds_though_the_announcement_is_refused():
+    """Both were one step: while our changes were refused for their rate, a renewed lease counted as lost."""
+    for world in busy(1, 1.0, 10.0):
+        first = first_of(world)
+        world.state.limits["write_rps"] = 0.0
+        first.coordinator._unheard["south.0"] = world.steady + 30.0  # so that there is something to announce
+        world.steady += 3.0
+        began = world.steady
+        assert not first.coordinator.keep_lease()
+        assert first.coordinator.lease_until >= began + 3.0
--- a/tidebend/coordination/coordinator.py
+++ b/tidebend/coordination/coordinator.py
@@ -71,17 +71,17 @@
                     log.info("lease %s has ended", self.lease)
                 self.lease = self.state.grant_lease(self._lease_s)
                 self._renewed = time.monotonic()
+            # drift: clocks may run fast by 0.05%, so a lease is trusted a little less long
+            self.lease_until = began + self._lease_s * 0.999
             # Each time, from what the state service has: guards an announcement that got no answer or was refused, and
             # whatever a former process of ours left behind.
             self._announce()
         except NoSuchLease:
-            self.lease = None
+            self.lease, self.lease_until = None, -1e9
             return False
         except FAILURES as error:
             log.info("lease: %s", error)
             return False
-        # drift: clocks may run fast by 0.05%, so a lease is trusted a little less long
-        self.lease_until = began + self._lease_s * 0.999
         return True
 
     def _announce(self) -> None:
