--- a/lab/search.py
+++ b/lab/search.py
@@ -270,7 +270,7 @@
 @_fault
 def staleness():
     """Workers are answered however old the last read is."""
-    with mock.patch.object(Settings, "answer_bound_s", 1e9):
+    with mock.patch.object(Settings, "staleness_bound_s", 1e9):
         yield
 
 
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -56,7 +56,7 @@
     (14.0, 2.0, 51.0, "refuse", "the other ends"), (14.0, 2.0, 51.0, "refuse", "frozen"),
     (14.0, 2.0, 51.0, "refuse", "alone with its workers"), (14.0, 2.0, 51.0, "refuse", "unread before")])
 def test_what_is_cancelled_elsewhere_is_gone_in_time_though_nothing_is_read(refused_s, gap_s, outage_s, how, also):
-    """Its holder answers workers for no longer than `answer_bound_s` after its last read."""
+    """Its holder answers workers for no longer than `staleness_bound_s` after its last read."""
     random.seed(1)
     world = World(1, ZONES, TEAMS, [{**TYPES[0], "harbors": ZONES}])
     for zone in ZONES:
--- a/tidebend/coordination/coordinator.py
+++ b/tidebend/coordination/coordinator.py
@@ -157,7 +157,7 @@
         """The controller of the block's own zone, to which it was granted, and since when it is out of touch, if it is.
 
         A zone that is cut off goes on working inside: such a controller may answer its workers for as long as
-        `answer_bound_s`, and their tasks go on.
+        `staleness_bound_s`, and their tasks go on.
         """
         record, _ = self.mirror.get(ZONE + zone_of(block))
         if record is not None:
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -256,7 +256,7 @@
         alone = self.coordinator.left_alone(block)
         if alone is None or not self.coordinator.heard_by_nobody(block) or not self.coordinator.works_on(block):
             return None
-        return alone[1] + self.settings.answer_bound_s
+        return alone[1] + self.settings.staleness_bound_s
 
     def _any_cancelled(self, name: str) -> bool:
         return any(job.cancelled for job, _ in self.book.on_machine(name))
@@ -265,7 +265,7 @@
         """What stands in a zone that works on inside is given up in the order of `zones.leave`."""
         # the last answered report was sent up to a report's interval before, and a lease counts from there
         end = until + self.settings.lease_s - 1.25 * self.settings.report_s
-        hold = Hold(until - MOVE_AHEAD * self.settings.answer_bound_s, until, end)
+        hold = Hold(until - MOVE_AHEAD * self.settings.staleness_bound_s, until, end)
         doomed = [name for name, since in silent.items()
                   if now - since > self.settings.lease_s and self._any_cancelled(name)]
         if now >= self._leave_at:
--- a/tidebend/service/workers.py
+++ b/tidebend/service/workers.py
@@ -92,7 +92,7 @@
         # Bounded staleness: somebody may have been told since our last read that a job is cancelled, whose tasks an
         # answer would keep alive. What the report says is taken over all the same. Guards a fleet that reported
         # throughout and was given back for its silence as soon as the state service was there again.
-        stale = self.mirror.age_s > self.settings.answer_bound_s
+        stale = self.mirror.age_s > self.settings.staleness_bound_s
         with self.fleet.lock:
             before = self.fleet.machines.get(report.machine)
             seen = {key: task.state for key, task in before.tasks.items()} if before else None
--- a/tidebend/settings.py
+++ b/tidebend/settings.py
@@ -100,7 +100,7 @@
         return self.lease_s * self.knobs.controller_lease
 
     @property
-    def answer_bound_s(self) -> float:
+    def staleness_bound_s(self) -> float:
         """The staleness bound: how old a holder's last read of the state service may be while it answers workers.
 
         A user was told "cancelled" at T, by whichever controller. A read that began after T knows it, so that a holder
