No block stays where two time-outs of its workers outlast their leases while the next controller is away

Cause: workers try the controllers in the order of their names, 5 s each. With the next one away for long, the workers of a controller that then falls silent find the third after 10 s and a report: with leases of 10 s, too late. Change: once a controller has been gone for a worker's lease, the leader gives the blocks of the one before it to one whose next is there, and home again when it is back; only where two time-outs outlast a lease. Tests: two in tests/test_meetings.py; the first fails with the code before.

--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -261,3 +261,33 @@
         began = world.steady
         assert not first.coordinator.keep_lease()
         assert first.coordinator.lease_until >= began + 3.0
+
+
+def test_no_block_stays_where_two_time_outs_would_cost_its_workers_their_leases():
+    """One controller was away for long and the one before it stood still: its workers came to the third too late."""
+    for world in busy(1, 1.0, 10.0):
+        world.crash("n1", 120.0)
+        for _ in range(300):
+            world.step()
+        blocks = {key: row[0]["holder"] for key, row in world.state.items.items() if "/block/" in key}
+        assert set(blocks.values()) == {"n2"}  # after n0 comes n1
+        sessions = {worker.name: worker.session for worker in world.workers.values()}
+        world.frozen["n2"] = world.now + 15.0
+        for _ in range(250):
+            world.step()
+        assert {worker.name: worker.session for worker in world.workers.values()
+                if worker.name in sessions} == sessions
+        while world.controllers["n1"] is None:
+            world.step()
+        for _ in range(200):
+            world.step()
+        assert world.state.items["tidebend/live/block/south.0"][0]["holder"] == "n1"
+        assert world.state.items["tidebend/live/block/north.0"][0]["holder"] == "n0"
+
+
+def test_blocks_stay_at_home_where_leases_outlast_two_time_outs():
+    for world in busy(1, 3.0, 14.0):
+        world.crash("n1", 60.0)
+        for _ in range(400):
+            world.step()
+        assert world.state.items["tidebend/live/block/north.0"][0]["holder"] == "n0"
--- a/tidebend/coordination/coordinator.py
+++ b/tidebend/coordination/coordinator.py
@@ -20,6 +20,8 @@
 NODE = LIVE + "node/"
 BLOCK = LIVE + "block/"
 ZONE = LIVE + "zone/"
+# how long a worker waits for an answer, and then until it tries the next controller; the protocol says so
+WORKERS_TRY_S = 4.0 + 1.0
 FAILURES = (Conflict, NoSuchLease, Unavailable, Unknown)
 
 
@@ -42,6 +44,7 @@
         self._lock = threading.Lock()
         self._unheard: dict[str, float] = {}  # block -> steady time until which we would rather not hold it
         self._nodes_since: dict[str, float] = {}
+        self._gone_since: dict[str, float] = {}  # controllers that are away, and since when the leader sees it
         self._unheard_since: dict[tuple[str, str], float] = {}  # block and node -> since when the leader sees it say so
         self._at_home: dict[str, tuple[str, float]] = {}  # block -> its zone's holder, and when it last held it
         self.was_held: Callable[[str, str], bool] = lambda node, block: True  # as that node's own last news had it
@@ -370,6 +373,20 @@
             self._keep_zones(term)
             self._share_out()
 
+    def _exposed(self, names: list[str], now: float) -> set[str]:
+        """The controllers whose workers would lose their leases if they fell silent, too: the next one in the workers'
+        order has been gone for a while, and two time-outs are longer than a lease.
+
+        Guards the work of a zone whose controller fails while the next one is away for long: its workers found the
+        third too late.
+        """
+        if self.settings.lease_s > 2.0 * WORKERS_TRY_S + 1.25 * self.settings.report_s:
+            return set()
+        gone = {name for name in names if name not in self._nodes_since}
+        self._gone_since = {name: self._gone_since.get(name, now) for name in gone}
+        long = {name for name, since in self._gone_since.items() if now - since > self.settings.lease_s}
+        return {name for number, name in enumerate(names) if names[(number + 1) % len(names)] in long}
+
     def _share_out(self) -> None:
         now = time.monotonic()
         nodes = {key[len(NODE):]: value for key, (value, _) in self.mirror.under(NODE).items()}
@@ -377,6 +394,7 @@
         blocks = self.mirror.under(BLOCK)
         held = dict.fromkeys(nodes, 0)
         names = sorted({self.settings.name, *(peer.name for peer in self.settings.peers)})
+        exposed = self._exposed(names, now)
         for value, _ in blocks.values():
             if value["holder"] in held:
                 held[value["holder"]] += 1
@@ -388,11 +406,12 @@
             zone = zone_of(block)
 
             def rank(name: str, block: str = block, zone: str = zone) -> tuple:
-                # Who can hear the block's machines; who is in its zone; who has least; whose workers find the next
-                # controller alive if this one falls silent: else they lose another time-out, and with it their leases.
+                # Who can hear the block's machines; whose workers would lose their leases with it; who is in its zone;
+                # who has least; whose workers find the next controller alive if this one falls silent: else they lose
+                # another time-out.
                 after = names[(names.index(name) + 1) % len(names)] if name in names else name
-                return (block in nodes[name].get("unheard", ()), nodes[name]["zone"] != zone, held[name],
-                        after not in nodes, name)
+                return (block in nodes[name].get("unheard", ()), name in exposed, nodes[name]["zone"] != zone,
+                        held[name], after not in nodes, name)
 
             if not nodes:
                 return
@@ -403,7 +422,7 @@
             if holder is None:
                 self._give(block, version, best, nodes, held, None)
             elif holder != best and holder in nodes:
-                unheard, abroad, load, *_ = rank(holder)
+                unheard, risky, abroad, load, *_ = rank(holder)
                 better = rank(best)
                 settled = now - self._nodes_since[best] > self._lease_s
                 # A zone that is left alone is asked by all at the same time: none takes it from another before it has
@@ -411,8 +430,8 @@
                 told = self._unheard_since.setdefault((block, holder), now) if unheard else now
                 patient = self.left_alone(block) is not None and now - told < self._lease_s
                 if (unheard and not better[0] and not patient) or (
-                        settled and not better[0] and (abroad and not better[1] or load - better[2] >= 2
-                                                       and abroad == better[1])):
+                        settled and not better[0] and (risky > better[1] or risky == better[1] and (
+                            abroad and not better[2] or load - better[3] >= 2 and abroad == better[2]))):
                     self._give(block, version, best, nodes, held, holder)
 
     def _give(self, block: str, version: int, name: str, nodes: dict[str, Any], held: dict[str, int],
