The search judges what each controller answers after the calm

Cause: it asked every controller about every accepted job, and looked at none of the answers: a 503 there broke no rule, and took the job out of what is counted as unfinished. Change: any answer but 200 to such a question is 'forgotten', and everything accepted counts for what must end.

--- a/lab/search.py
+++ b/lab/search.py
@@ -235,7 +235,7 @@
                 _, name, job = jobs.pop(0)
                 world.submit(name, **job)
             while cancels and cancels[0][0] <= world.now:
-                at, name = cancels.pop(0)
+                _, name = cancels.pop(0)
                 if world.answers.get(name, (0,))[0] in (200, 201):
                     world.cancel(name)
             while strikes and strikes[0] <= world.now:
@@ -245,14 +245,14 @@
                 over_at = max(over_at, world.now + seconds)
                 happened.append(f"{world.now - begin:.1f} {name} {whom} {seconds:.1f} s")
             world.step()
-        for name in world.answers:
-            for node in world.nodes:
-                world.user("poll", name, node)
+        accepted = sorted({row[3] for row in world.log if row[1] == "told" and row[4] in (200, 201)})
+        unknown = [("forgotten", world.now, f"{name}: {node} answers {status} after the calm")
+                   for name in accepted for node in world.nodes
+                   if (status := world.user("poll", name, node)[0]) != 200]
     found = breaches(world.log, world.jobs, [TEAM], cancel_s, world.completed)
-    found += forgotten(world.log, over_at)
+    found += forgotten(world.log, over_at) + unknown
     ended = {name for name, (_, state) in world.answers.items() if state in ("done", "withdrawn")}
-    unfinished = [name for name in world.jobs if world.answers[name][0] == 200 and name not in ended
-                  and _ends(name, world.jobs)]
+    unfinished = [name for name in accepted if name not in ended and _ends(name, world.jobs)]
     return {"seed": seed, "troubles": happened, "breaches": [list(row) for row in found], "unfinished": unfinished,
             "asked": len(world.answers), "began": sum(world.starts.values())}
 
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -5,6 +5,7 @@
 from lab.__main__ import main
 from lab.checker import forgotten
 from lab.search import FAULTS, play, play_with
+from tidebend.service.users import Users, unsure
 
 
 @pytest.mark.parametrize("first", range(0, 60, 10))
@@ -40,3 +41,11 @@
     assert forgotten(told, 100.0) == [("forgotten", 180.0, "a: no answer for 80 s")]
     assert not forgotten(told, 130.0)
     assert not forgotten(sorted([*told, (151.0, "told", "poll", "a", 200, "queued")]), 100.0)
+
+
+def test_a_controller_that_answers_nothing_after_the_calm_is_found(monkeypatch):
+    """Others answered each poll within 75 s, so that only asking each controller shows it."""
+    honest = Users.poll
+    monkeypatch.setattr(Users, "poll", lambda self, name: unsure("x") if self.settings.name == "n1"
+                        else honest(self, name))
+    assert any("n1 answers 503" in row[2] for row in play(1)["breaches"])
