--- a/tidebend/service/users.py
+++ b/tidebend/service/users.py
@@ -63,9 +63,16 @@
         # users wait 2 s for an answer to a poll
         self.read_s = min(1.2, 2 * state.timeout)
 
-    def _answer(self, job: Job) -> Reply:
-        if job.cancelled:
-            return Reply(200, protocol.job_answer(job.id, "cancelled"))
+    def _known(self, name: str) -> Reply | None:
+        """What the cache says of a job; the one place where that becomes an answer. None: it knows nothing of it."""
+        final = self.book.final(name)
+        if final is not None:
+            return Reply(200, protocol.job_answer(name, final))
+        job = self.book.get(name)
+        if job is None:
+            # guards against a job that ended between the two looks
+            final = self.book.final(name)
+            return None if final is None else Reply(200, protocol.job_answer(name, final))
         if job.complete:
             return Reply(200, protocol.job_answer(job.id, "done", job.spec.tasks, 0))
         running = job.running
@@ -74,22 +81,22 @@
 
     def find(self, name: str) -> Reply | None:
         """The job's state by a read begun after this call (finals by the cache); None: never submitted."""
-        final = self.book.final(name)
-        if final is None:
+        if self.book.final(name) is None:
             if not self.mirror.loaded.is_set() or not self.mirror.barrier(self.read_s):
                 raise Unavailable("no state read")
             self.look_up(self.book.unresolved(name), "poll")
-            job = self.book.get(name)
-            if job is not None:
-                return self._answer(job)
-            final = self.book.final(name)
-        if final is None:
+        known = self._known(name)
+        if known is None:
             value, _ = self.state.get(FINAL + name)
             if value is None:
                 return None
             self.book.remember_final(name, value)
-            final = unpack_final(value)[0]
-        return Reply(200, protocol.job_answer(name, final))
+            known = Reply(200, protocol.job_answer(name, unpack_final(value)[0]))
+        return known
+
+    def _refused(self, name: str, status: int, text: str) -> Reply:
+        """What was once accepted is never refused, whatever a repeat's body says and whatever is known by now."""
+        return self.find(name) or Reply(status, {"error": text})
 
     def look_up(self, names: list[str], kind: str) -> None:
         """Learn how jobs ended that others wait for.
@@ -121,24 +128,29 @@
         body = parse_body(raw)
         try:
             name = protocol.job_id(body)
-            if self.book.final(name) or self.book.get(name):
+        except Invalid as error:
+            return Reply(400, {"error": str(error)})
+        try:
+            if self._known(name):
                 reply = self.find(name)
                 if reply is not None:
                     return reply
-            spec = protocol.parse_job(body)
+            try:
+                spec, awaits = protocol.parse_job(body), protocol.parse_awaits(body)
+            except Invalid as error:
+                return self._refused(name, 400, str(error))
             if not self.types() or not self.mirror.loaded.is_set():
                 return unsure("not ready to decide")
-            awaits = protocol.parse_awaits(body)
             if awaits and not self.formats.pipelines:
                 # a process of the version before would start it at once
                 return unsure("not all controllers know pipelines yet")
             job = self.ledger.sizes.new_job(Job(name, 0, spec, came, awaits=awaits))
             if awaits and packed_bytes(awaits) > AWAITS_SHARE * self.ledger.sizes.value_bytes:
-                return self.find(name) or Reply(400, {"error": "awaits names more jobs than a record holds"})
+                return self._refused(name, 400, "awaits names more jobs than a record holds")
             never = (self._undecidable(spec) or (self.formats.pipelines and self.ledger.sizes.never_fits(job))
                      or self._never_accepted(awaits))
             if never:
-                return self.find(name) or Reply(422, {"error": never})
+                return self._refused(name, 422, never)
             value = job.pack()
             # a job that is kept has one record or the other
             conditions = {JOB + name: 0, HEAD + name: 0, FINAL + name: 0}
@@ -150,14 +162,14 @@
                 return self.find(name) or unsure("try again")
             except Unknown:
                 return self.find(name) or unsure("the state service didn't answer")
-        except Invalid as error:
-            return Reply(400, {"error": str(error)})
+            self.wake()
+            # by now others may have cancelled it, or it may be over
+            known = self._known(name) or self.find(name)
         except (Unavailable, Unknown, NoSuchLease) as error:
             if str(error).startswith("over"):
                 return Reply(429, {"error": "too many requests"}, LATER)
             return unsure("the state service can't be reached")
-        self.wake()
-        return Reply(201, protocol.job_answer(name, self.book.final(name) or "queued"))
+        return Reply(201, known.body) if known else unsure("try again")
 
     def _never_accepted(self, names: tuple[str, ...]) -> str | None:
         """Whether a job that is to be waited for can't be; that it was accepted holds for ever, its absence needs a
@@ -188,13 +200,10 @@
             if found.body["tide"] in ("done", "withdrawn"):
                 return found
             self.ledger.change(name, lambda job, _: None if job.complete else replace(job, cancelled=True), {})
-            final = self.book.final(name)
-            if final is not None:
+            known = self._known(name)
+            if known is not None and known.body["tide"] in ("done", "withdrawn"):
                 self.wake()
-                return Reply(200, protocol.job_answer(name, final))
-            job = self.book.get(name)
-            if job is not None and job.complete:
-                return self._answer(job)
+                return known
             return unsure("try again")
         except (Unavailable, Unknown):
             return unsure("the state service can't be reached")
--- a/tidebend/storage/mirror.py
+++ b/tidebend/storage/mirror.py
@@ -86,7 +86,11 @@
               patience: float = 0.5) -> int:
         """Change the records, then the cache by the same changes; raises as `StateClient.transact` does."""
         revision = self.state.transact(conditions, writes, kind, patience)
-        self.apply([(key, value, revision) for key, value, _ in writes])
+        with self.lock:
+            # Guards against an answer that a read has overtaken: the cache has this change already, and what has become
+            # of it since. A whole read tells of no deletions, so that a job that was over by then came back for good.
+            if revision > self._revision:
+                self.apply([(key, value, revision) for key, value, _ in writes])
         return revision
 
     def _load(self) -> None:
