What was cancelled long ago and doesn't answer is released, whoever leads or holds a lease

Cause: cancelled tasks on machines that hang.

Now each holder, or anybody where the holder is gone, asks the machines of jobs that were cancelled longer ago than the staleness bound and releases those that don't answer, also without a lease: cancelled is for ever, and the cloud's answer is the proof once the state service is back. What was cancelled by a process's first read counts as long ago. A controller that hears nobody does nothing.

--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -19,15 +19,15 @@
        "beyond the limit": {"shape": "group", "pieces": 5000}, "no such shape": {"shape": "heap"}}
 
 
-def small(seed, **named):
-    """Two machines in each of three zones, work for half of them; its clock runs until the test is over."""
+def small(seed, teams=TEAMS, **named):
+    """Two machines in each of three zones, and a first job; its clock runs until the test is over."""
     random.seed(seed)
-    world = World(seed, ZONES, TEAMS, [{**TYPES[0], "harbors": ZONES}], **named)
+    world = World(seed, ZONES, teams, [{**TYPES[0], "harbors": ZONES}], **named)
     for zone in ZONES:
         world.cloud.capacity["box", zone, False] = 4
         for _ in range(2):
             world.cloud.add("box", zone, False, -50.0)
-    world.submit("req-first", **{**JOB, "run_s": 2.0})
+    world.submit("req-first", **{**JOB, "crew": teams[0]["name"], "run_s": 2.0})
     with world.clock():
         for _ in range(150):
             world.step()
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 import threading
 import time
@@ -22,7 +23,7 @@
 from tidebend.service.ledger import Edit, Ledger
 from tidebend.service.listing import Listing
 from tidebend.service.planner import Planner
-from tidebend.service.witness import Witness
+from tidebend.service.witness import Round, Witness
 from tidebend.settings import Settings
 from tidebend.storage import Unavailable, Unknown
 from tidebend.tenancy import Usage
@@ -94,6 +95,9 @@
         self._spare_at = -1e9  # steady time from which idle machines may be given back again
         self._turned_since: dict[str, float] = {}  # block -> since when its workers come to others and not to us
         self._guarded_at = -1e9  # steady time of the guard's last look
+        # cancelled job that holds places -> steady time since which we know it
+        self._cancelled: dict[str, float] | None = None
+        self._asked: dict[str, Round] = {}  # machines that hold what was cancelled long ago, asked whether they answer
         self._strangers: dict[str, float] = {}
         self._lead_since: tuple[int | None, float] = (None, 0.0)
         self.gone_news: dict[str, float] = {}
@@ -175,6 +179,8 @@
                    and now - m.heard > self.settings.lease_s]
         self.fleet.drop(foreign)
         self.witness.look()
+        self._look_for_cancelled(now)
+        self._release_overdue(now)
         if not self.coordinator.lease_valid:
             return
         spare: list[Machine] = []
@@ -210,6 +216,57 @@
                         self._empty(machine)
         self._spare(spare, now)
 
+    def _look_for_cancelled(self, now: float) -> None:
+        if not self.coordinator.mirror.loaded.is_set():
+            return
+        # what was cancelled by our first read may have been so for any time
+        before, first = (self._cancelled, now) if self._cancelled is not None else ({}, -math.inf)
+        self._cancelled = {job.id: before.get(job.id, first) for job in self.book.live()
+                           if job.cancelled and job.claims}
+
+    def _release_overdue(self, now: float) -> None:
+        """Machines that hold what was cancelled long ago and that don't answer, with or without a lease of ours.
+
+        Guards against cancelled tasks on machines that hang: in an outage nobody has a lease, who hangs can't end its
+        tasks with its own, and holders that follow one another within moments each waited anew for its silence.
+        Cancelled is for ever, so that the release is right whoever holds the block by now, and the cloud's answer is
+        the proof once the state service is back. A worker that is merely out of reach has lost its tasks by then. Not
+        by a controller that hears nobody at all: then it is itself out of touch.
+        """
+        grants = {grant.block for grant in self.coordinator.grants()}
+        heard = [peer.at for peer in self.link.peers.values()]
+        with self.fleet.lock:
+            last = {m.name: max(m.heard, m.answered) for m in self.fleet.machines.values()}
+        overdue = {claim.machine: claim.zone for job in self.book.live() if self._long_cancelled(job, now)
+                   for claim in job.claims if now - last.get(claim.machine, -math.inf) > 2.0 * self.settings.report_s}
+        self._asked = {name: asked for name, asked in self._asked.items() if name in overdue}
+        addresses = self.witness.addresses() if overdue else {}
+        doomed = []
+        for name, zone in overdue.items():
+            block = block_of(zone)
+            if block not in grants and not self._nobody_holds(block, now):
+                continue
+            asked = self._asked.get(name)
+            if asked is None or asked.answered:
+                if name in addresses:
+                    self._asked[name] = self.witness.ask(addresses[name][1])
+                elif block not in grants:
+                    continue
+                else:  # whoever knows it hasn't told us: it would have come by now
+                    self._asked[name] = Round(1, mute=1)
+            elif asked.mute:
+                doomed.append(name)
+        if doomed and now - max([*heard, *last.values()], default=now) < self.settings.lease_s:
+            self.release(doomed[:MOST_RELEASED])
+
+    def _nobody_holds(self, block: str, now: float) -> bool:
+        peer = self.link.peers.get(self.coordinator.holder(block) or "")
+        return peer is None or now - peer.at > self.settings.lease_s
+
+    def _long_cancelled(self, job: Job, now: float) -> bool:
+        """Whether a job was cancelled so long ago that what holds its tasks is to be given up if it doesn't answer."""
+        return job.cancelled and (self._cancelled or {}).get(job.id, now) < now - self.settings.staleness_bound_s
+
     def _turned_away(self, block: str, own: list[Machine], granted: float, now: float) -> bool:
         """Whether a block's workers have lost us alone: none is heard, and they come to other controllers.
 
--- a/tidebend/service/witness.py
+++ b/tidebend/service/witness.py
@@ -26,7 +26,7 @@
 
 
 @dataclass
-class _Round:
+class Round:
     asked: int
     mute: int = 0
     answered: int = 0
@@ -48,9 +48,9 @@
         self.fleet = fleet
         self._came: dict[str, float] = {}  # block -> steady time at which a worker of it last came to us
         self._connect = connect
-        self._rounds: dict[str, _Round] = {}
+        self._rounds: dict[str, Round] = {}
         self._quiet_until: dict[str, float] = {}  # block -> steady time before which it isn't asked again
-        self._rows: queue.Queue[tuple[_Round, tuple[str, int]]] = queue.Queue()
+        self._rows: queue.Queue[tuple[Round, tuple[str, int]]] = queue.Queue()
         self._lock = threading.Lock()
         self._timeout = min(2.0, settings.report_s)
 
@@ -103,19 +103,30 @@
             else:
                 self._rounds.pop(block, None)
 
-    def _begin(self, block: str, zone: str) -> None:
-        known = {m.name: m.address for m in self.fleet.all() if m.zone == zone and m.address is not None}
+    def addresses(self) -> dict[str, tuple[str, tuple[str, int]]]:
+        """Of each machine that we or our peers know its zone and address."""
+        known = {m.name: (m.zone, m.address) for m in self.fleet.all() if m.address is not None}
         for peer in self.link.peers.values():
-            for name, _, where, _, released, host, port, _ in peer.machines or ():
-                if where == zone and host and not released:
-                    known.setdefault(name, (host, port))
+            for name, _, zone, _, released, host, port, _ in peer.machines or ():
+                if host and not released:
+                    known.setdefault(name, (zone, (host, port)))
+        return known
+
+    def ask(self, address: tuple[str, int]) -> Round:
+        """Ask one machine; the round tells whether it answered."""
+        round_ = Round(1)
+        self._rows.put((round_, address))
+        return round_
+
+    def _begin(self, block: str, zone: str) -> None:
+        known = {name: address for name, (where, address) in self.addresses().items() if where == zone}
         with self.fleet.lock:
             chosen = sorted(name for name in known if name not in self.fleet.gone)
         chosen = random.sample(chosen, min(SAMPLE, len(chosen)))
         if not chosen:
             self._rounds.pop(block, None)
             return
-        self._rounds[block] = round_ = _Round(len(chosen))
+        self._rounds[block] = round_ = Round(len(chosen))
         for name in chosen:
             self._rows.put((round_, known[name]))
 
@@ -133,7 +144,7 @@
             return True
         return False
 
-    def _ask(self, round_: _Round, address: tuple[str, int]) -> None:
+    def _ask(self, round_: Round, address: tuple[str, int]) -> None:
         heard = False
         try:
             self._connect(address, keep=0).request("GET", protocol.PATH_SHOW, None, self._timeout)
