A gang's machines are rented where one holder can place all of it

Cause: a holder places a gang whole, so its tasks need room in one zone, but free machines of all zones counted for it: two places in two zones, nothing rented, and it waited for ever beside room. A gang bound to one zone counted its first place wherever a free machine came first, also where the cloud had no more.

Now the zone is chosen first: where the rest can be had, the least of it.

--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -5,8 +5,11 @@
 from copy import deepcopy
 from random import Random
 
+import pytest
+
 from tidebend.bookkeeping.tasksets import from_text, lowest, to_text
 from tidebend.protocol import JobSpec, MachineType
+from tidebend.provisioning import Capacity, Offer, to_rent
 from tidebend.scheduling import (
     Place,
     Timeline,
@@ -170,3 +173,17 @@
     places = [place(f"m{number:03}", busy=[(0.0, 30.0, 8.0)]) for number in range(400)] + [place("open")]
     map_tasks([want(f"j{number}", cpus=8.0) for number in range(20)], places, 0.0, 40.0)
     assert len(looked) < 100
+
+
+@pytest.mark.parametrize(("one_zone", "free", "offered", "expected"), [
+    (False, "abc", "abc", {"a": 1}),  # room in three zones, each under another holder
+    (True, "a", "bc", {"b": 2}),  # the cloud has no more where one place is free
+    (True, "a", "abc", {"a": 1}), (True, "aa", "bc", {}), (False, "", "bc", {"b": 2}), (False, "a", "", {})])
+def test_a_gangs_machines_are_rented_where_one_holder_can_place_all_of_it(one_zone, free, offered, expected):
+    """Free machines of any zone counted for it: it waited for ever, and nothing was rented."""
+    kind = MachineType("box", 8.0, 0.0, 32.0, 50.0, 1.0, 1.0, 0.4, 10.0, ("a", "b", "c"))
+    capacities = [Capacity(kind, zone, False, (8.0, 0.0, 32.0)) for zone in free]
+    offers = [Offer(kind, zone, False) for zone in offered]
+    gang = Want("g", spec(kind="gang", tasks=2, cpus=6.0, one_zone=one_zone), Value(1.0, 0.0, 1000.0, 2000.0), 10.0, 2)
+    rented = to_rent([gang], capacities, offers, 0.0, {})
+    assert {rental.offer.zone: rental.machines for rental in rented} == expected
--- a/tidebend/provisioning/needs.py
+++ b/tidebend/provisioning/needs.py
@@ -23,6 +23,31 @@
     return math.ceil(want.waiting / turns)
 
 
+def _zone_for(want: Want, capacities: list[Capacity], offers: list[Offer], by: float, fitting: set[str],
+              machines: dict[str, int]) -> str:
+    """The zone in which a gang's places are to be had: where most of it fits by then and the rest can be rented.
+
+    One holder places a gang, so that its tasks need room in one zone whether the job asks for that or not. Guards
+    against a gang that waits for ever beside room in several zones, and one whose first place was counted in a zone
+    where the cloud has no more.
+    """
+    need = need_of(want.spec)
+    room = {zone: 0 for zone in {*(capacity.zone for capacity in capacities), *(offer.zone for offer in offers)}
+            if want.spec.zone in (None, zone)}
+    for capacity in capacities:
+        if capacity.zone in room and capacity.type.name in fitting and (want.spec.spot or not capacity.spot) \
+                and capacity.most_cpus + EPSILON >= need[0]:
+            room[capacity.zone] += times_fit(capacity.room_by(by), need)
+    price = {zone: min((offer.price for offer in offers if offer.zone == zone), default=math.inf) for zone in room}
+
+    def rank(zone: str) -> tuple:
+        missing = max(0, want.waiting - room[zone])
+        return (missing > 0 and price[zone] == math.inf, missing, price[zone], machines.get(zone, 0), zone)
+
+    held = [zone for zone, count in want.zones.items() if count]
+    return held[0] if held else min(room, key=rank, default="")
+
+
 def to_rent(wants: list[Want], capacities: list[Capacity], offers: list[Offer], now: float,
             rank: dict[str, int]) -> list[Rental]:
     """Machines for the waiting work that those at hand can't serve in time, by cost for each task.
@@ -46,16 +71,20 @@
             slack = max(0.0, min(SPARE * (want.value.soft - now - WRONG_BY * want.estimate), want.start_by - now))
         fitting = {kind.name for kind in {capacity.type for capacity in capacities}
                    if kind.fits(want.spec) and not (want.keeps_off_gpus and kind.gpus > 0)}
+        # what becomes free before the tasks must begin at the latest, or before a new machine could be up
+        by = max(slack, ready_in, boot_s if not want.service else 0.0)
+        only = _zone_for(want, capacities, allowed, by, fitting, rank) if want.gang and not want.spec.spread else None
         for capacity in capacities:
             if missing <= 0:
                 break
+            if only not in (None, capacity.zone):
+                continue
             # most machines are promised to others already, and passed over by this comparison alone
             if capacity.most_cpus + EPSILON < need[0] or capacity.type.name not in fitting:
                 continue
             if (capacity.spot and not want.spec.spot) or want.spec.zone not in (None, capacity.zone):
                 continue
-            # what becomes free before the tasks must begin at the latest, or before a new machine could be up
-            room = capacity.room_by(max(slack, ready_in, boot_s if not want.service else 0.0))
+            room = capacity.room_by(by)
             tasks = min(missing, times_fit(room, need), want.zone_room(capacity.zone))
             if tasks > 0:
                 capacity.take(need, tasks)
@@ -64,6 +93,8 @@
         while missing > 0:
             best = None
             for offer in allowed:
+                if only not in (None, offer.zone):
+                    continue
                 whole = (offer.type.cpus, offer.type.gpus, offer.type.memory_gb)
                 tasks = min(missing, times_fit(whole, need), want.zone_room(offer.zone))
                 if tasks < 1:
