--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -19,7 +19,7 @@
        "beyond the limit": {"shape": "group", "pieces": 5000}, "no such shape": {"shape": "heap"}}
 
 
-def small(seed, teams=TEAMS, **named):
+def small(seed, teams=TEAMS, prepare=lambda world: None, **named):
     """Two machines in each of three zones, and a first job; its clock runs until the test is over."""
     random.seed(seed)
     world = World(seed, ZONES, teams, [{**TYPES[0], "harbors": ZONES}], **named)
@@ -27,6 +27,7 @@
         world.cloud.capacity["box", zone, False] = 4
         for _ in range(2):
             world.cloud.add("box", zone, False, -50.0)
+    prepare(world)
     world.submit("req-first", **{**JOB, "crew": teams[0]["name"], "run_s": 2.0})
     with world.clock():
         for _ in range(150):
--- /dev/null
+++ b/tests/test_lost_answers.py
@@ -0,0 +1,143 @@
+"""Transactions that are carried out at once and only their answers are lost, and jobs of one task in a stream."""
+
+import json
+from collections import Counter
+from functools import partial
+
+import pytest
+
+from lab.checker import BesideRoom, judged, starts_after_cancellation
+from lab.world import World
+from tests.test_answers import ask, small
+from tests.test_hand_overs import GANG, LONG, SERVICE, run
+from tests.test_scenarios import JOB
+from tests.test_troubles import ZONES
+
+LIVE = "tidebend/live/"
+AT_FIRST = ("team/", "format", "reads/")  # written as controllers begin
+KINDS = ("job/", "head/", "part/", "block/", "leader", "node/", "quota/", "team/", "format", "reads/", "zone/")
+
+
+def lose(world, wanted):
+    """Of the changes of the state that `wanted` picks, the answers are lost; returns how many there were."""
+    lost, honest = Counter(), World.from_controller
+
+    def from_controller(node, version, address, method, path, body):
+        answer = honest(world, node, version, address, method, path, body)
+        if address == ("state", 1) and method == "POST" and answer[0] == 200 and wanted(path, body):
+            lost["all"] += 1
+            raise version.no_answer("only the answer is lost")
+        return answer
+
+    world.from_controller = from_controller
+    return lost
+
+
+def writes(kind):
+    if kind == "leases":
+        return lambda path, body: path.startswith("/grants")
+    start = "tidebend/final/" if kind == "finals" else LIVE + kind
+    return lambda path, body: path == "/multi" and any(
+        (row.get("put") or row["delete"]).startswith(start) for row in body["writes"])
+
+
+def day(world):
+    world.submit("req-a", **{**JOB, "pieces": 12, "run_s": 6.0, "vcpus": 1.0})
+    world.submit("req-large", **{**JOB, "pieces": 3000, "vcpus": 0.01, "memoryGb": 0.01, "run_s": 3.0})
+    world.submit("req-b", **{**JOB, "awaits": ["req-a"], "run_s": 3.0})
+    world.submit("req-g", **{**JOB, **GANG, "run_s": 10.0})
+    world.submit("req-v", **{**JOB, **SERVICE})
+    world.submit("req-l", **{**JOB, **LONG})
+
+
+@pytest.mark.parametrize("kind", [*KINDS, "finals", "leases"])
+def test_only_the_answers_are_lost_while_others_read_what_was_written(kind):
+    """The repeat meets its own write, which it doesn't undo, and claims nothing twice; users ask everywhere."""
+    lost = []
+
+    def prepare(world):
+        lost.append(lose(world, writes(kind)))
+        world.later.append((world.now + (8.0 if kind in AT_FIRST else 0.0), lambda: vars(world).pop("from_controller")))
+
+    for world in small(1, prepare=prepare):
+        world.looks_until = world.now + 40.0
+        beside = BesideRoom(world)
+        day(world)
+        for number in range(5):
+            run(world, (0.0, 0.5, 3.0, 3.0, 3.0)[number])
+            if kind in ("block/", "leader", "node/", "zone/", "leases", "reads/"):
+                world.crash(world.nodes[number % 3], (0.3, 6.0)[number % 2])
+            lost.append(lose(world, writes(kind)))
+            run(world, (2.0, 6.0)[number % 2])
+            del world.from_controller
+            if number == 2:
+                world.cancel("req-l")
+        run(world, 95.0, beside)
+        assert not judged(world, world.now, beside)
+        off = {row[3] for row in world.log if row[1:3] == ("asked", "cancel")}  # by those who look closely, too
+        expected = {"req-a": "done", "req-large": "done", "req-g": "done", "req-v": "running"}
+        for name in expected.keys() - off:
+            assert world.user("poll", name)[1] == expected[name], name
+        for name in off:
+            assert world.user("poll", name)[1] in ("withdrawn", "done")
+        assert "req-b" in off or world.user("poll", "req-b")[1] == world.user("poll", "req-a")[1]
+        assert sum(row["all"] for row in lost) > 0
+
+
+@pytest.mark.parametrize("action", ["submit", "cancel"])
+def test_a_users_request_whose_answer_from_the_state_is_lost_is_answered_by_what_was_written(action):
+    for world in small(2):
+        if action == "cancel":
+            ask(world, "submit", "req-x", "n1")
+        lost = lose(world, lambda path, body: path == "/multi" and "req-x" in json.dumps(body))
+        status, state = ask(world, action, "req-x", "n0")
+        del world.from_controller
+        assert lost["all"] == 1
+        assert (status, state) in (((200, "queued"),) if action == "submit" else ((503, None), (200, "withdrawn")))
+        expected = "queued" if action == "submit" else "withdrawn"
+        for node in world.nodes:
+            assert ask(world, "poll", "req-x", node) == (200, expected)
+            assert ask(world, action, "req-x", node) == (200, expected)
+
+
+def test_jobs_of_one_task_four_a_second_for_minutes():
+    """A quarter of them is called off, at all times of their lives. What one costs at the state service is bounded, and
+    so is what is kept of those that are over."""
+    for world in small(3, limits={"rps": 120.0, "write_rps": 30.0, "txn_ops": 16}):
+        for zone in ZONES:
+            world.cloud.capacity["box", zone, False] = 12
+            for _ in range(6):
+                world.cloud.add("box", zone, False, -50.0)
+        run(world, 10.0)
+        beside, asked = BesideRoom(world), 0
+        before, began = Counter(world.state.counts), world.now
+        for _ in range(150):
+            for number in range(asked, asked + 4):
+                world.submit(f"req-{number}", **{**JOB, "vcpus": 1.0, "run_s": 5.0})
+                if number % 4 == 0:
+                    name = f"req-{number}"
+                    delay = (0.3, 2.0, 5.0, 8.0)[number // 4 % 4]
+                    world.later.append((world.now + delay, partial(world.cancel, name)))
+            asked += 4
+            run(world, 1.0, beside)
+            # users stop asking about what is over
+            for name in [name for name in world.polls if world.answers[name][1] in ("done", "withdrawn")]:
+                del world.polls[name]
+        changes = (world.state.counts["changes"] - before["changes"]) / asked
+        failed = (world.state.counts["conflicts"] - before["conflicts"]) / asked
+        run(world, 60.0, beside)
+        answers = Counter(world.answers[f"req-{n}"][1] for n in range(asked))
+        assert set(answers) == {"done", "withdrawn"} and answers["done"] > 0.6 * asked
+        polls = [row[4] for row in world.log if row[1:3] == ("told", "poll")]
+        assert polls.count(200) > 0.97 * len(polls)
+        assert changes < 4.5 and failed < 0.3, (changes, failed)
+        for controller in world.controllers.values():
+            assert len(controller.book.jobs) < 3 and not controller.book._by_machine.keys() - world.workers.keys()
+            assert len(controller.mirror._gone) <= controller.mirror.KEEP_TOMBSTONES
+            assert len(controller.planner.turns._since) < 3 and len(controller.planner.claims.at) < 3
+            assert len(controller.rentals._cancelled) < 3 and len(controller.planner.ends._since) < 3
+        late = [after for _, after in starts_after_cancellation(world.log)]
+        assert len(late) <= 0.02 * asked and max(late, default=0.0) < 2.0, late
+        assert world.now - began > 200.0
+        found = [row for row in judged(world, world.now, beside) if row[0] != "forgotten" or "after the calm" in row[2]]
+        assert not found
