What was cancelled long ago is asked twice before its machine is released, few machines at a time

Cause: a single lost packet counted as no answer, and a zone full of such machines would have kept those waiting who ask whether a zone is lost (read, not played).

--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -23,7 +23,7 @@
 from tidebend.service.ledger import Edit, Ledger
 from tidebend.service.listing import Listing
 from tidebend.service.planner import Planner
-from tidebend.service.witness import Round, Witness
+from tidebend.service.witness import SAMPLE, Round, Witness
 from tidebend.settings import Settings
 from tidebend.storage import Unavailable, Unknown
 from tidebend.tenancy import Usage
@@ -48,6 +48,9 @@
 # a machine that nobody hears is given up after this share of the workers' lease
 GIVEN_UP_AFTER = 0.55
 
+# a machine that holds what was cancelled long ago doesn't answer if it was asked so often in vain
+TRIES = 2
+
 # A holder that has heard none of so many machines for so many report intervals, in which each has reported once at
 # least, has lost its workers if they come to others; one that was sent on to us is here within a moment.
 FEW_MACHINES = 3
@@ -97,7 +100,8 @@
         self._guarded_at = -1e9  # steady time of the guard's last look
         # cancelled job that holds places -> steady time since which we know it
         self._cancelled: dict[str, float] | None = None
-        self._asked: dict[str, Round] = {}  # machines that hold what was cancelled long ago, asked whether they answer
+        # machines that hold what was cancelled long ago: whether they answered when they were asked, the last time last
+        self._asked: dict[str, list[Round]] = {}
         self._strangers: dict[str, float] = {}
         self._lead_since: tuple[int | None, float] = (None, 0.0)
         self.gone_news: dict[str, float] = {}
@@ -241,21 +245,22 @@
                    for claim in job.claims if now - last.get(claim.machine, -math.inf) > 2.0 * self.settings.report_s}
         self._asked = {name: asked for name, asked in self._asked.items() if name in overdue}
         addresses = self.witness.addresses() if overdue else {}
+        # few at a time: those who ask whether a zone is lost must not wait behind them
+        open_ = sum(not (asked[-1].mute or asked[-1].answered) for asked in self._asked.values() if asked)
         doomed = []
         for name, zone in overdue.items():
             block = block_of(zone)
             if block not in grants and not self._nobody_holds(block, now):
                 continue
-            asked = self._asked.get(name)
-            if asked is None or asked.answered:
-                if name in addresses:
-                    self._asked[name] = self.witness.ask(addresses[name][1])
-                elif block not in grants:
-                    continue
-                else:  # whoever knows it hasn't told us: it would have come by now
-                    self._asked[name] = Round(1, mute=1)
-            elif asked.mute:
+            asked = self._asked.setdefault(name, [])
+            if len(asked) >= TRIES and all(round_.mute for round_ in asked[-TRIES:]):
                 doomed.append(name)
+            elif not asked or asked[-1].mute or asked[-1].answered:
+                if name in addresses and open_ < SAMPLE:
+                    open_ += 1
+                    asked[:] = [*asked[1 - TRIES:], self.witness.ask(addresses[name][1])]
+                elif name not in addresses and block in grants:  # whoever knows it hasn't told us: it would have come by now
+                    asked[:] = [Round(1, mute=1)] * TRIES
         if doomed and now - max([*heard, *last.values()], default=now) < self.settings.lease_s:
             self.release(doomed[:MOST_RELEASED])
 
