--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -259,7 +259,8 @@
                 if name in addresses and open_ < SAMPLE:
                     open_ += 1
                     asked[:] = [*asked[1 - TRIES:], self.witness.ask(addresses[name][1])]
-                elif name not in addresses and block in grants:  # whoever knows it hasn't told us: it would have come by now
+                elif name not in addresses and block in grants:
+                    # whoever knows it hasn't told us, and it would have come to us by now
                     asked[:] = [Round(1, mute=1)] * TRIES
         if doomed and now - max([*heard, *last.values()], default=now) < self.settings.lease_s:
             self.release(doomed[:MOST_RELEASED])
