A machine that was given back is not asked and released again while its claims can't be recorded

Cause: its claims stay on record through an outage, so that it counted as holding what was cancelled long ago and was released again every few seconds, for calls of the cloud that rentals need. tests/test_hand_overs.py, ...is_released_once..., fails without.

--- a/tests/test_hand_overs.py
+++ b/tests/test_hand_overs.py
@@ -98,6 +98,26 @@
     assert {found[0] for found in cancelled_and_hanging(TIMES[0], 1.5, "outage")} == {"ran_cancelled"}
 
 
+def test_a_machine_is_released_once_though_its_claims_cannot_be_recorded():
+    """While nothing can be written it was asked and released again every few seconds, for calls that rentals need."""
+    for world in small(1):
+        world.submit("req-0", **{**JOB, **SERVICE})
+        run(world, 20.0)
+        world.cancel_now(1, 100.0)
+        run(world, 0.5)
+        outage(world, 70.0)
+        asked, honest = [], world.cloud.call
+
+        def call(node, method, path, body, asked=asked, honest=honest):
+            asked.extend(body["fleet"] if path == "/machines/release" else ())
+            return honest(node, method, path, body)
+
+        world.cloud.call = call
+        hung = {worker.name for worker in world.workers.values() if worker.hung_until > world.now}
+        run(world, 65.0)
+        assert hung and set(asked) >= hung and len(asked) <= 2 * len(set(asked))
+
+
 TWO = [{"name": "team", "cpus": 8.0, "cpus_max": 12.0, "gpus": 0.0, "gpus_max": 0.0},
        {"name": "other", "cpus": 4.0, "cpus_max": 8.0, "gpus": 0.0, "gpus_max": 0.0}]
 
--- a/tidebend/service/rentals.py
+++ b/tidebend/service/rentals.py
@@ -184,7 +184,7 @@
         self.fleet.drop(foreign)
         self.witness.look()
         self._look_for_cancelled(now)
-        self._release_overdue(now)
+        self._release_overdue(told, now)
         if not self.coordinator.lease_valid:
             return
         spare: list[Machine] = []
@@ -228,7 +228,7 @@
         self._cancelled = {job.id: before.get(job.id, first) for job in self.book.live()
                            if job.cancelled and job.claims}
 
-    def _release_overdue(self, now: float) -> None:
+    def _release_overdue(self, told: set[str], now: float) -> None:
         """Machines that hold what was cancelled long ago and that don't answer, with or without a lease of ours.
 
         Guards against cancelled tasks on machines that hang: in an outage nobody has a lease, who hangs can't end its
@@ -241,8 +241,10 @@
         heard = [peer.at for peer in self.link.peers.values()]
         with self.fleet.lock:
             last = {m.name: max(m.heard, m.answered) for m in self.fleet.machines.values()}
+            gone = told | self.fleet.gone.keys()  # their claims wait for the state service
         overdue = {claim.machine: claim.zone for job in self.book.live() if self._long_cancelled(job, now)
-                   for claim in job.claims if now - last.get(claim.machine, -math.inf) > 2.0 * self.settings.report_s}
+                   for claim in job.claims if claim.machine not in gone
+                   and now - last.get(claim.machine, -math.inf) > 2.0 * self.settings.report_s}
         self._asked = {name: asked for name, asked in self._asked.items() if name in overdue}
         addresses = self.witness.addresses() if overdue else {}
         # few at a time: those who ask whether a zone is lost must not wait behind them
