What one version calls cancelled, the version in production no longer makes done

Cause: the version in production names the final state of a job with no allocations left "done if all tasks are done, else cancelled". A cancellation that meets the end of the last tasks is recorded, confirmed, and undone by the holder that then records the ends. The class of bug: a final state is decided in two places, by different facts: the answer goes by the cancellation on record, the last write by the count of done tasks.

Fix: that code compares the bitmap of done tasks with that of all tasks. The record of a cancelled job that such code reads now holds one done task more than there are, so the comparison is never true, the bit is kept with each write, and the job ends as cancelled. Records under other keys, which that code doesn't read, stay as they are. A controller of this version that is asked about a job whose cancellation another version recorded writes it again with that bit ahead of its own answer, so that whatever this version calls cancelled stays so, whoever recorded it. That costs at most one change for such a job, and only until schema version 2 is in force.

The sample of stored records is written back as before but for the one field of the cancelled record, which has a test of its own.

A cancellation that only production has confirmed, and that nobody asks this version about, is not protected by this.

--- a/simulation/world.py
+++ b/simulation/world.py
@@ -77,6 +77,7 @@
         self.kept = []  # such copies
         self.led = None  # the leader's record as of the last step
         self.cancelled_at_end = []  # (until, share): of the jobs that end, those that are called off at that moment
+        self.cancelled_through = None  # the controller that users ask to cancel jobs; None: any
         self.looks_until = -1.0  # until then users ask everywhere, also while requests to the state are under way
         self.looked_at = []  # jobs that were just accepted, ended or cancelled, the newest last
         self.looking = False
@@ -325,7 +326,7 @@
             answer = self.to_controller(None, node, "POST", f"/api/jobs/{name}/cancel", {})
         status = answer[0] if answer else None
         state = answer[1].get("tide") if answer and isinstance(answer[1], dict) else None
-        self.log.append((self.now, "told", action, name, status, state, began))
+        self.log.append((self.now, "told", action, name, status, state, began, node))
         before = self.answers.get(name, (None, None))
         if not self.looking:
             self.answers[name] = (status, state)
@@ -342,7 +343,7 @@
         self.looking = True
         for node in nodes:
             action = self.chance.choice(("poll", "poll", "poll", "submit", "submit", "cancel"))
-            if action == "cancel" and self.chance.random() < 0.7:
+            if action == "cancel" and (self.chance.random() < 0.7 or self.cancelled_through not in (None, node)):
                 action = "poll"
             if action == "cancel":
                 if name not in self.polls:
@@ -430,7 +431,7 @@
         for row in list(self.pending):
             if self.now < row[0]:
                 continue
-            status, _ = self.user(row[1], row[2])
+            status, _ = self.user(row[1], row[2], self.cancelled_through if row[1] == "cancel" else None)
             if status in (200, 201, 400, 404, 422):
                 self.pending.remove(row)
                 if row[1] == "submit" and status in (200, 201):
--- /dev/null
+++ b/tests/test_final_states.py
@@ -0,0 +1,152 @@
+"""A final state that a user was told is told for ever: cancellations that meet the end of last tasks, versions mixed.
+
+The version in production records a job as done once all its tasks are, even if a cancellation was confirmed before. So
+users ask the controllers of this version alone to cancel, and those of production record the ends.
+"""
+
+import random
+
+import pytest
+
+from simulation.checker import breaches
+from simulation.versions import production
+from simulation.world import NEW, World
+from tests.test_scenarios import JOB
+
+ZONES = ["north", "south", "west"]
+TEAM = {"name": "team", "cpus": 40.0, "cpus_max": 200.0, "gpus": 0.0, "gpus_max": 0.0}
+BOX = {
+    "name": "box",
+    "vcpus": 8.0,
+    "accelerators": 0.0,
+    "memoryGb": 32.0,
+    "localGb": 50.0,
+    "fetchGbPerS": 1.0,
+    "price": 1.0,
+    "spotPrice": 0.4,
+    "startupS": 10.0,
+    "harbors": ZONES,
+}
+JOBS = {
+    "array": {"pieces": 3, "vcpus": 1.0, "run_s": 4.0},
+    "one": {"pieces": 1, "vcpus": 1.0, "run_s": 3.0},
+    "gang": {"shape": "group", "pieces": 2, "vcpus": 2.0, "run_s": 5.0, "samePlace": True},
+}
+
+
+def crash(world, node, seconds, times):
+    for when in times:
+        world.later.append((world.now + when, lambda: world.crash(node, seconds)))
+
+
+def nothing(world):
+    pass
+
+
+def the_confirming_controller_ends(world):
+    crash(world, "n0", 0.3, (12.0, 20.0, 28.0))
+
+
+def the_recording_controllers_end(world):
+    crash(world, "n1", 0.3, (11.0, 24.0))
+    crash(world, "n2", 3.0, (17.0, 31.0))
+
+
+def answers_are_lost(world):
+    world.lost_answers.append((world.now + 40.0, 0.2))
+
+
+def writes_are_late(world):
+    world.late_writes.append((world.now + 40.0, 0.2))
+
+
+def users_look_closely(world):
+    world.looks_until = world.now + 60.0
+
+
+TROUBLES = (
+    nothing,
+    the_confirming_controller_ends,
+    the_recording_controllers_end,
+    answers_are_lost,
+    writes_are_late,
+    users_look_closely,
+)
+
+
+def mixed_world(seed, former):
+    """Controllers of a former version but for n0, and machines in the zones of the former ones."""
+    random.seed(seed)
+    world = World(seed, ZONES, [TEAM], [BOX])
+    world.versions.update(dict.fromkeys(("n1", "n2"), former))
+    world.cloud.capacity.update({("box", zone, spot): 0 for zone in ZONES for spot in (False, True)})
+    for zone in ("south", "west"):
+        for _ in range(4):
+            world.cloud.add("box", zone, False, -50.0)
+    return world
+
+
+def play(world, begin_trouble, jobs=24):
+    """Jobs of each kind, all of which are cancelled through `world.cancelled_through` as their last task ends."""
+    with world.clock():
+        for _ in range(80):
+            world.step()
+        world.cancelled_at_end.append((world.now + 60.0, 1.0))
+        begin_trouble(world)
+        for number in range(jobs):
+            for kind, job in JOBS.items():
+                world.submit(f"req-{kind}-{number}", **{**JOB, "harbor": ZONES[1 + number % 2], **job})
+            for _ in range(10):
+                world.step()
+        for _ in range(400):
+            world.step()
+
+
+def told_cancelled(world):
+    return {row[3] for row in world.log if row[1] == "told" and row[5] == "withdrawn"}
+
+
+def complete(world):
+    return {name for name, job in world.jobs.items() if world.done_tasks.get(name) == job["pieces"]}
+
+
+def taken_back(world, node):
+    """Jobs that a controller called cancelled, and that any called something else afterwards."""
+    found, told = set(), set()
+    for row in world.log:
+        if row[1] == "told" and row[4] in (200, 201):
+            if row[3] in told and row[5] != "withdrawn":
+                found.add(row[3])
+            if row[5] == "withdrawn" and row[7] == node:
+                told.add(row[3])
+    assert told
+    return found
+
+
+@pytest.fixture(scope="module")
+def former():
+    found = production()
+    if found is None:
+        pytest.skip("the version in production isn't in the history at hand")
+    return found
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("trouble", TROUBLES, ids=lambda trouble: trouble.__name__)
+def test_what_this_version_confirms_as_cancelled_is_never_made_done_by_the_version_in_production(former, trouble, seed):
+    world = mixed_world(seed, former)
+    world.cancelled_through = "n0"
+    play(world, trouble)
+    assert {world.versions[node] is NEW for node in ("n1", "n2")} == {False}
+    assert len(told_cancelled(world) & complete(world)) >= 10  # the case that is guarded against came about
+    found = breaches(world.log, world.jobs, world.teams, world.cancel_s, world.completed)
+    assert not found, found[:5]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_what_this_version_calls_cancelled_is_never_made_done_though_production_recorded_the_cancellation(former, seed):
+    world = mixed_world(seed, former)
+    world.cancelled_through = "n1"
+    world.looks_until = 1e9
+    play(world, nothing)
+    assert not taken_back(world, "n0")
--- a/tests/test_stored_records.py
+++ b/tests/test_stored_records.py
@@ -8,6 +8,7 @@
 
 import json
 import threading
+from dataclasses import replace
 from pathlib import Path
 
 import pytest
@@ -18,6 +19,7 @@
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import HEAD, JOB, Job
 from tidebend.cluster_state.record_chunks import CHUNK, Chunk, ChunkIndex
+from tidebend.cluster_state.task_bitmap import from_text
 from tidebend.coordination.records import LEADER, NODE, SHARD, ZONE
 from tidebend.coordination.schema_version import FORMAT, READS
 from tidebend.kvclient import FINAL
@@ -46,11 +48,32 @@
     }
     for key, value in records:
         job = Job.unpack(key.rpartition("/")[2], value, 7)
+        if key.startswith(JOB) and "cancelled" in value:
+            # the only field that is written otherwise than it was: see the next test
+            value = {**value, "done": f"{value['done']},{job.spec.tasks}"}
         assert as_stored(job.pack()) == value
         assert list(job.pack()) == list(value)
         assert job.key == key
 
 
+def test_a_cancelled_record_of_the_first_format_holds_a_task_more_than_there_are_and_no_other_does():
+    cancelled = [value for key, value in SAMPLES["records"] if key.startswith(JOB) and "cancelled" in value]
+    assert cancelled
+    for value in cancelled:
+        job = Job.unpack("req-a", value, 7)
+        for done in (0, job.done, job.all_tasks & ~job.allocated):
+            before = replace(job, done=done)
+            assert before.needs_sealing
+            written = as_stored(before.pack())
+            assert from_text(written["done"]) == done | 1 << job.spec.tasks
+            assert Job.unpack("req-a", written, 7) == replace(before, cancellation_sealed=True)
+            assert not Job.unpack("req-a", written, 7).needs_sealing
+            assert as_stored(Job.unpack("req-a", written, 7).pack()) == written
+            assert from_text(replace(before, cancelled=False).pack().get("done", "")) == done
+            waited = replace(before, dependencies_done_at=1.0)
+            assert from_text(waited.pack().get("done", "")) == done
+
+
 def test_chunks_are_written_back_as_they_were():
     chunks = list(SAMPLES["chunks"])
     sizes = {name: ChunkIndex.unpack(value["parts"]).size for name, value in recorded(HEAD) if "parts" in value}
--- a/tidebend/cluster_state/job_records.py
+++ b/tidebend/cluster_state/job_records.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from tidebend.cluster_state.allocations import pack_allocations, unpack_allocations
@@ -24,13 +24,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Job(ChunkedJob):
-    """A job with its form in records."""
+    """A job with its form in records.
+
+    Controllers of the first format version record a job as done once its bitmap of done tasks equals that of all its
+    tasks, even if it was cancelled before. To keep them from it, a cancelled job under `JOB` is recorded with one more
+    done task than it has tasks, which seals its cancellation. They keep that bit; it is removed when a record is read.
+    """
 
     @property
     def key(self) -> str:
         """The key of its record."""
         return (HEAD if self.dependencies or self.dependencies_done_at is not None or self.chunks else JOB) + self.id
 
+    @property
+    def needs_sealing(self) -> bool:
+        """Whether the job is cancelled, and controllers of the first format version may still record it as done."""
+        return self.cancelled and not self.cancellation_sealed and self.key.startswith(JOB)
+
+    @property
+    def _sealing_bit(self) -> int:
+        """The bit of a task that the job doesn't have."""
+        return 1 << self.spec.tasks
+
     def pack(self) -> dict[str, Any]:
         """Return the record under `key`. Of a split job it is the head; chunks are packed by themselves."""
         value: dict[str, Any] = {"spec": self.spec.pack(), "at": round(self.submitted, 3)}
@@ -51,8 +66,9 @@
             value["started"] = self.started
         if self.ended:
             value["ended"] = self.ended
-        if self.done:
-            value["done"] = to_text(self.done)
+        sealing_bit = self._sealing_bit if self.cancelled and self.key.startswith(JOB) else 0
+        if self.done or sealing_bit:
+            value["done"] = to_text(self.done | sealing_bit)
         if self.allocations:
             value["claims"] = pack_allocations(self.allocations)
 
@@ -62,7 +78,7 @@
 
         A job with dependencies counts as blocked until their final records say otherwise.
         """
-        return Job(
+        job = Job(
             id=name,
             version=version,
             spec=JobSpec.unpack(value["spec"]),
@@ -77,3 +93,6 @@
             blocked=bool(value.get("awaits")),
             chunks=ChunkIndex.unpack(value["parts"]) if "parts" in value else None,
         )
+        if job.done & job._sealing_bit:
+            return replace(job, done=job.done & ~job._sealing_bit, cancellation_sealed=True)
+        return job
--- a/tidebend/cluster_state/job_state.py
+++ b/tidebend/cluster_state/job_state.py
@@ -26,6 +26,7 @@
     spec: JobSpec
     submitted: float
     cancelled: bool = False
+    cancellation_sealed: bool = False  # no version may record the job as done any more: see `Job`
     started: int = 0  # allocation events so far; numbers the attempts
     ended: int = 0  # tasks of allocations that have ended; only grows
     done: int = 0  # bitmap
@@ -96,6 +97,10 @@
         """Return the job after an allocation event; its dependencies are done by then, and dropped."""
         return replace(self, allocations=self.allocations + tuple(added), started=self.started + 1, dependencies=())
 
+    def with_cancellation(self) -> Self:
+        """Return the job as it is once its cancellation is recorded."""
+        return replace(self, cancelled=True, cancellation_sealed=True)
+
     def with_dependencies_done(self, at: float) -> Self:
         """Return the job as it is once the last of its dependencies is done."""
         return replace(self, blocked=False, dependencies_done_at=at)
--- a/tidebend/controller/api/job_api.py
+++ b/tidebend/controller/api/job_api.py
@@ -4,7 +4,6 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import replace
 from typing import Any
 
 from tidebend import protocol
@@ -26,6 +25,7 @@
     WatchCache,
 )
 from tidebend.protocol import InvalidMessageError, JobSpec, MachineType
+from tidebend.quota import TeamUsage
 from tidebend.settings import Settings
 from tidebend.transport import Reply
 
@@ -120,10 +120,8 @@
                 return _no_such_job()
             if _is_final(found):
                 return found
-            self._job_writer.change(
-                job_id, lambda job, _: None if job.complete else replace(job, cancelled=True), conditions={}
-            )
-            answer = self._answer_from_cache(job_id)
+            self._job_writer.change(job_id, _cancelled_unless_done, conditions={})
+            answer = self.find(job_id)
             if answer is not None and _is_final(answer):
                 self._wake_scheduler()
                 return answer
@@ -136,13 +134,14 @@
     def find(self, job_id: str) -> Reply | None:
         """Return the job's state by a read begun after this call; None if it was never accepted.
 
-        Final states don't change, so they are answered from the cache. Raises `NotExecutedError` or
-        `OutcomeUnknownError`.
+        Final states don't change, so they are answered from the cache: a cancellation once it is sealed. Raises
+        `NotExecutedError` or `OutcomeUnknownError`.
         """
         if self._job_cache.final(job_id) is None:
             if not self._cache.loaded.is_set() or not self._cache.barrier(self._read_timeout_s):
                 raise NotExecutedError("no state read")
             self._look_up_finals(self._job_cache.unresolved(job_id), "poll")
+        self._seal_cancellation(job_id)
         answer = self._answer_from_cache(job_id)
         if answer is None:
             value, _ = self._state.get(FINAL + job_id)
@@ -152,6 +151,21 @@
             answer = Reply(200, protocol.job_answer(job_id, unpack_final(value)[0]))
         return answer
 
+    def _seal_cancellation(self, job_id: str) -> None:
+        """Make sure that a cancelled job stays cancelled, whoever recorded its cancellation.
+
+        Raises `NotExecutedError` if that can't be had now, or what `JobWriter.change` raises.
+        """
+        if self._schema_version.pipelines or not self._needs_sealing(job_id):
+            return
+        self._job_writer.change(job_id, lambda job, _: job.with_cancellation() if job.cancelled else None, {})
+        if self._needs_sealing(job_id):
+            raise NotExecutedError("the cancellation isn't sealed")
+
+    def _needs_sealing(self, job_id: str) -> bool:
+        job = self._job_cache.get(job_id)
+        return job is not None and job.needs_sealing
+
     def _answer_from_cache(self, job_id: str) -> Reply | None:
         """Return what the cache knows of a job; None if it knows nothing. All answers about jobs are made here."""
         final = self._job_cache.final(job_id)
@@ -257,10 +271,17 @@
             return self.find(job.id) or unavailable_reply("the state service didn't answer")
         self._wake_scheduler()
         # by now another request may have cancelled it, or it may be over
-        answer = self._answer_from_cache(job.id) or self.find(job.id)
+        answer = self._answer_from_cache(job.id)
+        if answer is None or _is_final(answer):
+            answer = self.find(job.id)
         return Reply(201, answer.body) if answer else unavailable_reply("try again")
 
 
+def _cancelled_unless_done(job: Job, _: TeamUsage) -> Job | None:
+    """Return the job with its cancellation, or None if it has been done before."""
+    return None if job.complete and not job.cancelled else job.with_cancellation()
+
+
 def _no_such_job() -> Reply:
     return Reply(404, {"error": "no such job"})
 
