A cancelled job whose last tasks are done afterwards stays cancelled

Cause: the record that replaces a job's when nothing of it is allocated any more said "done" whenever all tasks are done, also if the job had been cancelled, and its user been told so, before the last of them ended. Answers go by the cancellation, the last record went by the tasks.

Fix: the last record goes by the cancellation, too. A cancellation isn't recorded of a job that is done already, so a job that is done before stays done.

Evidence: the test, which writes a cancellation, then the end of the last tasks: "done" without the fix, "cancelled" with it.

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -73,6 +73,18 @@
     assert claim(second, "a", "vm-000001", 1) is None
 
 
+def test_a_cancelled_job_whose_last_tasks_are_done_afterwards_stays_cancelled(world):
+    first, second = stale_pair(world, **{"req-a": spec(pieces=2)})
+    assert claim(first, "req-a", "vm-000000", 3) is not None
+    record = replace(first.book.get("req-a"), cancelled=True).pack()
+    world.state.transact({"if": [], "writes": [{"put": JOB_KEY + "req-a", "v": record}]})
+    assert first.ledger.change("req-a", lambda job, _: job.without({("vm-000000", 1, 1): 3}, 3), {}) is not None
+    assert world.state.items["tidebend/final/req-a"][0] == "cancelled"
+    second.mirror.catch_up(0.0, "claim")
+    for controller in (first, second):
+        assert controller.users.poll("req-a").body["tide"] == "withdrawn"
+
+
 def test_two_holders_do_not_exceed_a_team_limit_with_two_jobs(world):
     first, second = stale_pair(world, a=spec(pieces=2), b=spec(pieces=2))
     assert claim(first, "a", "vm-000000", 3) is not None
--- a/tidebend/service/ledger.py
+++ b/tidebend/service/ledger.py
@@ -119,7 +119,7 @@
                 after = usage.without(job.spec, job.charged)
                 writes: list[Write] = [
                     (JOB + edit.job, None, None),
-                    (FINAL + edit.job, "done" if new.complete else "cancelled", None)]
+                    (FINAL + edit.job, "cancelled" if new.cancelled else "done", None)]
                 size = 0
             else:
                 after = usage.plus(new.spec, new.charged - job.charged)
