Cancellations that production confirmed are sealed on sight while both versions serve

Change: a controller of this version seals the records of such jobs at its next mapping event, which their change wakes, ahead of everything else in it. Sealing moves to a module of its own, which answers and the scheduling loop share.

It is a race with the old holder's next write, and the old holder may win. Old code can't be changed by that.

--- a/tests/test_final_states.py
+++ b/tests/test_final_states.py
@@ -150,3 +150,28 @@
     world.looks_until = 1e9
     play(world, nothing)
     assert not taken_back(world, "n0")
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_cancellation_that_production_confirmed_is_sealed_on_sight_while_the_holder_stands_still(former, seed):
+    world = mixed_world(seed, former)
+    with world.clock():
+        for _ in range(100):
+            world.step()
+        for kind, job in JOBS.items():
+            world.submit(f"req-{kind}", **{**JOB, "harbor": "south", **job, "run_s": 6.0})
+        for _ in range(50):
+            world.step()
+        assert world.holder("south") == "n1"
+        for name in world.jobs:
+            world.log.append((world.now, "asked", "cancel", name, None))
+            assert world.user("cancel", name, "n2") == (200, "withdrawn")
+        world.frozen["n1"] = world.now + 2.8  # less than its lease, and until the tasks are done
+        world.polls.clear()  # nobody asks before all is over
+        for _ in range(200):
+            world.step()
+        for name in world.jobs:
+            assert [world.user("poll", name, node) for node in world.nodes] == [(200, "withdrawn")] * 3
+    assert complete(world) == world.jobs.keys()
+    found = breaches(world.log, world.jobs, world.teams, world.cancel_s, world.completed)
+    assert not found, found[:5]
--- a/tidebend/controller/api/job_api.py
+++ b/tidebend/controller/api/job_api.py
@@ -11,6 +11,7 @@
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import HEAD, JOB, Job
 from tidebend.controller.api.replies import RETRY_LATER, parse_body, unavailable_reply
+from tidebend.controller.records.cancellation_sealer import CancellationSealer
 from tidebend.controller.records.job_writer import JobWriter
 from tidebend.controller.records.record_limits import packed_bytes
 from tidebend.coordination.schema_version import FORMAT, SchemaVersion
@@ -64,6 +65,7 @@
         job_cache: JobCache,
         job_writer: JobWriter,
         schema_version: SchemaVersion,
+        cancellation_sealer: CancellationSealer,
         machine_types: Callable[[], dict[str, MachineType]],
         wake_scheduler: Callable[[], None],
         look_up_finals: Callable[[list[str], str], None],
@@ -75,6 +77,7 @@
         self._job_cache = job_cache
         self._job_writer = job_writer
         self._schema_version = schema_version
+        self._cancellation_sealer = cancellation_sealer
         self._machine_types = machine_types
         self._wake_scheduler = wake_scheduler
         self._look_up_finals = look_up_finals
@@ -141,7 +144,7 @@
             if not self._cache.loaded.is_set() or not self._cache.barrier(self._read_timeout_s):
                 raise NotExecutedError("no state read")
             self._look_up_finals(self._job_cache.unresolved(job_id), "poll")
-        self._seal_cancellation(job_id)
+        self._cancellation_sealer.seal(job_id)
         answer = self._answer_from_cache(job_id)
         if answer is None:
             value, _ = self._state.get(FINAL + job_id)
@@ -151,21 +154,6 @@
             answer = Reply(200, protocol.job_answer(job_id, unpack_final(value)[0]))
         return answer
 
-    def _seal_cancellation(self, job_id: str) -> None:
-        """Make sure that a cancelled job stays cancelled, whoever recorded its cancellation.
-
-        Raises `NotExecutedError` if that can't be had now, or what `JobWriter.change` raises.
-        """
-        if self._schema_version.pipelines or not self._needs_sealing(job_id):
-            return
-        self._job_writer.change(job_id, lambda job, _: job.with_cancellation() if job.cancelled else None, {})
-        if self._needs_sealing(job_id):
-            raise NotExecutedError("the cancellation isn't sealed")
-
-    def _needs_sealing(self, job_id: str) -> bool:
-        job = self._job_cache.get(job_id)
-        return job is not None and job.needs_sealing
-
     def _answer_from_cache(self, job_id: str) -> Reply | None:
         """Return what the cache knows of a job; None if it knows nothing. All answers about jobs are made here."""
         final = self._job_cache.final(job_id)
--- a/tidebend/controller/controller.py
+++ b/tidebend/controller/controller.py
@@ -20,6 +20,7 @@
 from tidebend.controller.peer_report import PeerReport
 from tidebend.controller.quota.quota_rebalancing import QuotaRebalancer
 from tidebend.controller.readiness import Readiness
+from tidebend.controller.records.cancellation_sealer import CancellationSealer
 from tidebend.controller.records.final_lookup import FinalRecordLookup
 from tidebend.controller.records.job_writer import JobWriter
 from tidebend.controller.records.record_limits import RecordLimits
@@ -121,6 +122,7 @@
         )
         self.record_limits = RecordLimits(self.settings.state_limits, self.schema_version, self.state.writes_per_s)
         self.job_writer = JobWriter(self.cache, self.job_cache, self.quota_rebalancer, self.record_limits)
+        self.cancellation_sealer = CancellationSealer(self.job_cache, self.job_writer, self.schema_version)
         self.final_lookup = FinalRecordLookup(self.state, self.job_cache)
 
     def _create_scheduler(self) -> None:
@@ -130,6 +132,7 @@
             self.job_cache,
             self.machine_registry,
             self.job_writer,
+            self.cancellation_sealer,
             self.quota_rebalancer,
             self._machine_types,
             self.command_dispatcher.send,
@@ -173,6 +176,7 @@
             self.job_cache,
             self.job_writer,
             self.schema_version,
+            self.cancellation_sealer,
             self._machine_types,
             self.planner.wake,
             self.final_lookup.look_up,
--- /dev/null
+++ b/tidebend/controller/records/cancellation_sealer.py
@@ -0,0 +1,56 @@
+"""Seals cancellations that controllers of the first schema version have recorded."""
+
+from __future__ import annotations
+
+from tidebend.cluster_state.job_cache import JobCache
+from tidebend.cluster_state.job_records import Job
+from tidebend.controller.records.job_writer import JobEdit, JobWriter
+from tidebend.coordination.schema_version import SchemaVersion
+from tidebend.kvclient import NotExecutedError
+from tidebend.quota import TeamUsage
+
+
+class CancellationSealer:
+    """Keeps cancelled jobs cancelled while controllers of the first schema version may still record them as done.
+
+    How a record is sealed: see `Job`. Once a later schema version is in force there are no such controllers any more.
+    """
+
+    def __init__(self, job_cache: JobCache, job_writer: JobWriter, schema_version: SchemaVersion) -> None:
+        """Seal the jobs in `job_cache`."""
+        self._job_cache = job_cache
+        self._job_writer = job_writer
+        self._schema_version = schema_version
+
+    def seal(self, job_id: str) -> None:
+        """Make sure that a job that is known to be cancelled stays so, whoever recorded it.
+
+        Raises `NotExecutedError` if that can't be had now, or what `JobWriter.change_all` raises.
+        """
+        if self._schema_version.pipelines or not self._needs_sealing(job_id):
+            return
+        self._write([job_id])
+        if self._needs_sealing(job_id):
+            raise NotExecutedError("the cancellation isn't sealed")
+
+    def seal_all(self) -> None:
+        """Seal all cancellations that are known, ahead of the end of the last tasks.
+
+        Several controllers may try at the same time: the first one succeeds. Raises what `JobWriter.change_all` raises.
+        """
+        if self._schema_version.pipelines:
+            return
+        unsealed = [job.id for job in self._job_cache.live() if job.needs_sealing]
+        if unsealed:
+            self._write(unsealed)
+
+    def _write(self, job_ids: list[str]) -> None:
+        self._job_writer.change_all([JobEdit(job_id, _sealed) for job_id in job_ids])
+
+    def _needs_sealing(self, job_id: str) -> bool:
+        job = self._job_cache.get(job_id)
+        return job is not None and job.needs_sealing
+
+
+def _sealed(job: Job, _: TeamUsage) -> Job | None:
+    return job.with_cancellation() if job.needs_sealing else None
--- a/tidebend/controller/scheduler/scheduling_loop.py
+++ b/tidebend/controller/scheduler/scheduling_loop.py
@@ -17,6 +17,7 @@
 from tidebend.cluster_state.machine_registry import MachineRegistry
 from tidebend.controller.quota.quota_rebalancing import QuotaRebalancer
 from tidebend.controller.quota.quota_release import QuotaReleaser
+from tidebend.controller.records.cancellation_sealer import CancellationSealer
 from tidebend.controller.records.completion_tracker import CompletionTracker
 from tidebend.controller.records.job_writer import JobWriter
 from tidebend.controller.scheduler.allocator import Allocator
@@ -54,6 +55,7 @@
         job_cache: JobCache,
         machine_registry: MachineRegistry,
         job_writer: JobWriter,
+        cancellation_sealer: CancellationSealer,
         quota_rebalancer: QuotaRebalancer,
         types: Callable[[], dict[str, MachineType]],
         send: Callable[[set[str]], None],
@@ -64,6 +66,7 @@
         self.settings = settings
         self.coordinator = coordinator
         self.job_cache = job_cache
+        self.cancellation_sealer = cancellation_sealer
         self.quota_rebalancer = quota_rebalancer
         self.send = send
         self.estimates = RunTimeEstimates()
@@ -112,6 +115,7 @@
         workers and users that are late for want of processor time. Completions don't rest with it: users expect to
         hear of them. Raises `NotExecutedError` or `OutcomeUnknownError` if the state service can't be reached.
         """
+        self.cancellation_sealer.seal_all()
         self._resolve_final_records()
         self.completions.collect()
         if self.coordinator.term is not None:
