The log tells which version runs, what a cancellation rests on, and by which record a job became final

In the incident's records nothing says which version a process ran, under which schema version it wrote, or who made the job final by which record. A process now logs its version and the newest schema version that it reads as it begins, the one in force as of its first read, and its own announcement; a controller that confirms a cancellation logs the revision as of which it answers; whoever ends a job logs the state, the transaction's revision, the version of the record that it was concluded from, and how many tasks were done.

Tests: what each line says, on a world with production's code beside this one.

--- a/tests/test_final_states.py
+++ b/tests/test_final_states.py
@@ -5,6 +5,8 @@
 """
 
 import random
+import re
+from unittest import mock
 
 import pytest
 
@@ -12,6 +14,7 @@
 from simulation.versions import production
 from simulation.world import NEW, World
 from tests.test_scenarios import JOB
+from tidebend.controller.records.cancellation_sealer import CancellationSealer
 
 ZONES = ["north", "south", "west"]
 TEAM = {"name": "team", "cpus": 40.0, "cpus_max": 200.0, "gpus": 0.0, "gpus_max": 0.0}
@@ -110,14 +113,14 @@
     return {name for name, job in world.jobs.items() if world.done_tasks.get(name) == job["pieces"]}
 
 
-def taken_back(world, node):
-    """Jobs that a controller called cancelled, and that any called something else afterwards."""
+def taken_back(world, nodes):
+    """Jobs that one of these controllers called cancelled, and that any called something else afterwards."""
     found, told = set(), set()
     for row in world.log:
         if row[1] == "told" and row[4] in (200, 201):
             if row[3] in told and row[5] != "withdrawn":
                 found.add(row[3])
-            if row[5] == "withdrawn" and row[7] == node:
+            if row[5] == "withdrawn" and row[7] in nodes:
                 told.add(row[3])
     assert told
     return found
@@ -149,7 +152,7 @@
     world.cancelled_through = "n1"
     world.looks_until = 1e9
     play(world, nothing)
-    assert not taken_back(world, "n0")
+    assert not taken_back(world, ["n0"])
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -175,3 +178,37 @@
     assert complete(world) == world.jobs.keys()
     found = breaches(world.log, world.jobs, world.teams, world.cancel_s, world.completed)
     assert not found, found[:5]
+
+
+def logged(caplog, logger):
+    return [record.getMessage() for record in caplog.records if record.name == logger]
+
+
+def test_the_log_tells_which_version_confirmed_a_cancellation_and_by_what_it_became_final(former, caplog):
+    caplog.set_level("INFO")
+    world = mixed_world(1, former)
+    world.cancelled_through = "n0"
+    world.upgrade("n1", 1.0)
+    play(world, nothing, jobs=4)
+    versions = logged(caplog, "formats")
+    assert [row.partition(" as of")[0] for row in versions].count("format 1 is in force") == 2
+    assert versions.count("announced that this process reads up to format 2") == 2
+    for name in told_cancelled(world):
+        assert any(re.fullmatch(rf"job {name}: withdrawn, as of revision \d+", row) for row in logged(caplog, "users"))
+    ended = [row for row in logged(caplog, "ledger") if ": cancelled at revision " in row]
+    assert ended  # by this version; former controllers say nothing
+    for row in ended:
+        assert re.fullmatch(
+            r"job \S+: cancelled at revision \d+, by its record of revision \d+; \d of \d tasks done", row
+        )
+    assert not logged(caplog, "jobs")
+
+
+def test_the_log_tells_of_a_final_record_that_contradicts_a_cancellation(former, caplog):
+    world = mixed_world(1, former)
+    world.cancelled_through = "n1"
+    with mock.patch.object(CancellationSealer, "seal_all"):
+        play(world, nothing, jobs=4)
+    contradicted = {row.split()[1].rstrip(":") for row in logged(caplog, "jobs") if "was cancelled before" in row}
+    assert contradicted
+    assert contradicted == taken_back(world, world.nodes)
--- a/tidebend/__init__.py
+++ b/tidebend/__init__.py
@@ -1,3 +1,3 @@
 """tidebend, a cluster scheduler."""
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- a/tidebend/cluster_state/job_cache.py
+++ b/tidebend/cluster_state/job_cache.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import threading
 from collections.abc import Container
 from dataclasses import dataclass, replace
@@ -10,12 +11,14 @@
 from tidebend.cluster_state.allocation_index import AllocationIndex
 from tidebend.cluster_state.allocations import Allocation
 from tidebend.cluster_state.dependency_graph import DependencyGraph
-from tidebend.cluster_state.final_states import CANCELLED, UNKNOWN_TIME, FinalState, unpack_final
+from tidebend.cluster_state.final_states import CANCELLED, DONE, UNKNOWN_TIME, FinalState, unpack_final
 from tidebend.cluster_state.job_records import HEAD, JOB, Job
 from tidebend.cluster_state.record_chunks import CHUNK, Chunk
 from tidebend.kvclient import FINAL
 from tidebend.quota import QuotaAmount, TeamUsage, UsageIndex
 
+log = logging.getLogger("jobs")
+
 
 @dataclass(slots=True)
 class _ChunkRecord:
@@ -49,6 +52,8 @@
         self._usage = UsageIndex()
         self._allocations = AllocationIndex()
         self._dependencies = DependencyGraph(keep_finals)
+        self._removed_cancelled: set[str] = set()  # the cancelled jobs whose records the last removals deleted
+        self._removed_at = 0  # the revision of these removals
 
     def on_change(self, key: str, value: Any, version: int) -> None:
         """Apply a record of the state service, or its removal if `value` is None; other keys are ignored."""
@@ -61,16 +66,33 @@
             self._change_chunk(name, int(number), value, version)
         elif key.startswith(FINAL):
             if value is not None:
+                self._check_final(key[len(FINAL) :], value, version)
                 self.remember_final(key[len(FINAL) :], value)
         else:
             self._usage.on_change(key, value, version)
 
+    def _check_final(self, name: str, value: Any, version: int) -> None:
+        """Log if a job's final record contradicts its cancellation, which users may have been told of."""
+        job = self.jobs.get(name)
+        was_cancelled = job.cancelled if job else version == self._removed_at and name in self._removed_cancelled
+        if was_cancelled and unpack_final(value).state == DONE:
+            log.error("job %s: recorded as done at revision %d, and was cancelled before", name, version)
+
+    def _note_removal(self, job: Job, version: int) -> None:
+        """Remember that a cancelled job was removed at a revision, for the final record that comes with it."""
+        if version != self._removed_at:
+            self._removed_at = version
+            self._removed_cancelled.clear()
+        if job.cancelled:
+            self._removed_cancelled.add(job.id)
+
     def _change_head(self, name: str, key: str, value: Any, version: int) -> None:
         old = self._heads.get(name)
         if value is None:
             if old is None or old.key != key:
                 return  # the job has moved to the other key
             del self._heads[name]
+            self._note_removal(old, version)
         else:
             self._heads[name] = Job.unpack(name, value, version)
         new = self._heads.get(name)
--- a/tidebend/controller/api/job_api.py
+++ b/tidebend/controller/api/job_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from collections.abc import Callable
 from typing import Any
@@ -30,6 +31,8 @@
 from tidebend.settings import Settings
 from tidebend.transport import Reply
 
+log = logging.getLogger("users")
+
 # the longest wait for a read of the state service, in seconds: users wait 2 s for the answer to a poll
 MAX_READ_S = 1.2
 # the time in seconds for which the write of a submission is repeated
@@ -126,6 +129,7 @@
             self._job_writer.change(job_id, _cancelled_unless_done, conditions={})
             answer = self.find(job_id)
             if answer is not None and _is_final(answer):
+                log.info("job %s: %s, as of revision %d", job_id, answer.body["tide"], self._cache.revision)
                 self._wake_scheduler()
                 return answer
             return unavailable_reply("try again")
--- a/tidebend/controller/controller.py
+++ b/tidebend/controller/controller.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from tidebend import protocol
+from tidebend import __version__, protocol
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import HEAD, JOB
 from tidebend.cluster_state.machine_registry import MachineRegistry
@@ -29,7 +29,7 @@
 from tidebend.controller.workers.heartbeats import HeartbeatHandler
 from tidebend.controller.workers.zone_probe import ZoneProbe
 from tidebend.coordination import Coordinator, PeerExchange
-from tidebend.coordination.schema_version import FORMAT, SchemaVersion
+from tidebend.coordination.schema_version import FORMAT, NEWEST, SchemaVersion
 from tidebend.kvclient import FINAL, KeyValueClient, WatchCache
 from tidebend.settings import Settings
 from tidebend.transport import HttpClient, Reply, Server
@@ -260,5 +260,6 @@
     threading.stack_size(STACK_BYTES)
     gc.set_threshold(*GC_THRESHOLDS)
     server = Controller(settings).start()
+    log.info("version %s, reads up to format %d", __version__, NEWEST)
     log.info("%s in %s serves on %s:%d", settings.name, settings.zone, *settings.listen)
     server.serve_forever(poll_interval=5.0)
--- a/tidebend/controller/records/final_transactions.py
+++ b/tidebend/controller/records/final_transactions.py
@@ -5,7 +5,7 @@
 import time
 from dataclasses import replace
 
-from tidebend.cluster_state.final_states import pack_final
+from tidebend.cluster_state.final_states import CANCELLED, DONE, pack_final
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import Job
 from tidebend.controller.records.job_transaction import JobTransaction, chunk_key, chunk_versions, delete, put
@@ -41,7 +41,7 @@
             numbers = list(versions)[: self._record_limits.max_writes - 1]
             return self._delete_chunks(job, new, {number: versions[number] for number in numbers}, usage)
         keys = [chunk_key(job.id, number) for number in versions]
-        state = "cancelled" if new.cancelled else "done"
+        state = CANCELLED if new.cancelled else DONE
         final = pack_final(state, time.time(), not self._schema_version.pipelines)
         return JobTransaction(
             new,
--- a/tidebend/controller/records/job_writer.py
+++ b/tidebend/controller/records/job_writer.py
@@ -5,6 +5,7 @@
 import logging
 from dataclasses import dataclass, field
 
+from tidebend.cluster_state.final_states import CANCELLED, DONE
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import Job
 from tidebend.controller.quota.quota_rebalancing import QuotaRebalancer
@@ -14,6 +15,7 @@
 from tidebend.controller.records.record_splitter import RecordSplitter
 from tidebend.controller.records.transaction_builder import TransactionBuilder
 from tidebend.kvclient import (
+    FINAL,
     ConflictError,
     LeaseNotFoundError,
     NotExecutedError,
@@ -43,6 +45,18 @@
     changed: dict[str, Job] = field(default_factory=dict)
 
 
+def _log_final_states(batch: EditBatch, revision: int) -> None:
+    """Log which jobs have ended by a transaction, and from which version of their records that was concluded."""
+    for job_id, job in batch.jobs.items():
+        if FINAL + job_id in batch.writes:
+            state = CANCELLED if job.cancelled else DONE
+            done = job.done.bit_count()
+            log.info(
+                "job %s: %s at revision %d, by its record of revision %d; %d of %d tasks done",
+                *(job_id, state, revision, job.version, done, job.spec.tasks),
+            )
+
+
 class JobWriter:
     """Applies edits to jobs and writes the results if nothing that they were made from has changed."""
 
@@ -93,7 +107,7 @@
 
     def _write_batch(self, batch: EditBatch, progress: _Progress, patience: float) -> None:
         try:
-            self.cache.write(batch.conditions, list(batch.writes.values()), patience=patience)
+            revision = self.cache.write(batch.conditions, list(batch.writes.values()), patience=patience)
         except ConflictError as conflict:
             self._retry_after_conflict(batch, progress, conflict)
         except TransactionTooLargeError:
@@ -108,6 +122,7 @@
             raise NotExecutedError("no such lease") from error
         else:
             progress.changed.update(batch.jobs)
+            _log_final_states(batch, revision)
 
     def _retry_after_conflict(self, batch: EditBatch, progress: _Progress, conflict: ConflictError) -> None:
         """Apply the edits again after a read, in smaller transactions with fewer conditions that may fail.
--- a/tidebend/coordination/schema_version.py
+++ b/tidebend/coordination/schema_version.py
@@ -35,6 +35,7 @@
         self.settings = settings
         self.state = state
         self.cache = cache
+        self._has_logged_version = False
 
     @property
     def version(self) -> int:
@@ -52,10 +53,14 @@
 
         It stays when the process ends, which comes back no older. Raises as the client does.
         """
+        if not self._has_logged_version:
+            self._has_logged_version = True
+            log.info("format %d is in force as of revision %d", self.version, self.cache.revision)
         key = READS + self.settings.name
         value, version = self.cache.get(key)
         if _newest_read(value) < NEWEST:
             self._put(key, ReadsRecord(NEWEST).pack(), {key: version})
+            log.info("announced that this process reads up to format %d", NEWEST)
 
     def raise_if_all_read(self, leader: Mapping[str, int]) -> None:
         """Raise the format if all controllers read it; `leader` is the condition that we still lead.
--- a/tidebend/kvclient/watch_cache.py
+++ b/tidebend/kvclient/watch_cache.py
@@ -60,6 +60,12 @@
         threading.Thread(target=self._watch, name="watch", daemon=True).start()
         threading.Thread(target=self.read_barrier.run, name="barrier", daemon=True).start()
 
+    @property
+    def revision(self) -> int:
+        """The revision of the key-value store as of which the cache has been read."""
+        with self.lock:
+            return self._revision
+
     @property
     def age_s(self) -> float:
         """How long ago the last completed read began: the staleness of the cache."""
