The test of an agent that stood still waits until the task has begun, not for an allocation and a moment

The agent was stopped within the start (launched at 1201.334, on its going on; ended for its lease at 1201.404, before the process wrote its line). What is asserted stays the same; the test now stops the agent only once the process has begun, which is the case in its name.

--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -91,11 +91,11 @@
         _ask(loopback, "array", 1, seconds="7", machines=["far"])
         (name,) = loopback.asked
         deadline = time.monotonic() + 30.0
-        while not loopback.asked[name].accepted or loopback.desk.job(name)["running"] < 1:
+        evidence = loopback.evidence / "log"
+        while not evidence.exists() or "begin" not in evidence.read_text():
             loopback.users()
             assert time.monotonic() < deadline
             time.sleep(0.05)
-        time.sleep(0.3)
         (far,) = [row for row in loopback.desk.agents() if row["kind"] == "far"]
         os.kill(loopback.far.pid, signal.SIGSTOP)
         # on a busy machine it goes on for a moment, and would count the standstill as a guest's silence
@@ -130,7 +130,7 @@
     finally:
         loopback.end()
     assert loopback.check() == []
-    log = (loopback.evidence / "log").read_text().splitlines()
+    log = evidence.read_text().splitlines()
     assert [line.split()[0] for line in log if line.split()[2] != "99"] == ["begin", "begin", "end"]
     assert not any(line.split()[2] == "99" for line in log)
 
