--- a/simulation/world.py
+++ b/simulation/world.py
@@ -269,8 +269,11 @@
                     controller.route("POST", "/v1/report", lambda raw=raw: raw)
 
     def complete(self, job, index):
-        if self.completed.setdefault(f"{job}/{index}", self.now) == self.now:
-            self.done_tasks[job] = sum(1 for n in range(self.jobs[job]["pieces"]) if f"{job}/{n}" in self.completed)
+        key = f"{job}/{index}"
+        if key not in self.completed:
+            self.completed[key] = self.now
+            self.done_tasks[job] = self.done_tasks.get(job, 0) + 1
+        if self.completed[key] == self.now:
             self.last_done[job] = self.now
             if self.done_tasks[job] == self.jobs[job]["pieces"]:
                 self.looked_at.append(job)
