Cancellations are sealed after the rise of the schema version, too, and ends and cancellations in any order have a test

A transaction of production's that got no answer may be executed 2 to 12 s late, after the last old process is gone and schema version 2 is in force; then a job that waits for the cancelled one would have been called cancelled and run all the same. The job cache now keeps the unsealed cancellations as it takes records over, so that nobody scans the live jobs for them and no version has to be asked.

--- a/tests/test_final_states.py
+++ b/tests/test_final_states.py
@@ -4,8 +4,10 @@
 users ask the controllers of this version alone to cancel, and those of production record the ends.
 """
 
+import contextlib
 import random
 import re
+from dataclasses import replace
 from unittest import mock
 
 import pytest
@@ -14,8 +16,15 @@
 from simulation.search import play as play_search
 from simulation.versions import at, production
 from simulation.world import NEW, World
+from tests.test_guards import begun
 from tests.test_scenarios import JOB
+from tidebend.cluster_state.allocations import Allocation
+from tidebend.cluster_state.job_records import JOB as JOB_KEY
+from tidebend.cluster_state.job_records import Job
 from tidebend.controller.records.cancellation_sealer import CancellationSealer
+from tidebend.coordination.schema_version import FORMAT
+from tidebend.kvclient import NotExecutedError, OutcomeUnknownError
+from tidebend.protocol import parse_job
 
 ZONES = ["north", "south", "west"]
 TEAM = {"name": "team", "cpus": 40.0, "cpus_max": 200.0, "gpus": 0.0, "gpus_max": 0.0}
@@ -169,6 +178,77 @@
     assert not found, found[:5]
 
 
+def test_a_cancellation_that_production_recorded_is_sealed_after_the_rise_of_the_format_too():
+    """A transaction of production's that got no answer may be executed later still."""
+    for world in begun():
+        assert FORMAT in world.state.items
+        job = Job("req-a", 0, parse_job({**JOB, "pieces": 2}), 0.0, cancelled=True)
+        record = replace(job, allocations=(Allocation("vm-000000", 1, 1, 3, 0.0, "north"),)).pack()
+        del record["done"]  # as production writes it
+        world.state.transact({"if": [], "writes": [{"put": JOB_KEY + "req-a", "v": record}]})
+        written = len(world.state.changes)
+        for _ in range(20):
+            world.step()
+        after = next(row for row in world.state.changes[written:] if JOB_KEY + "req-a" in row.values())
+        assert after["v"] == {**record, "done": "2"}
+
+
+MOST_TASKS = 200
+# the job, the longest record, and how often it is cancelled rather than that something ends, once it is nearly done
+FORMS = {
+    "one record": ({"pieces": 5, "vcpus": 0.1, "memoryGb": 0.0}, 8192, 0.1),
+    "gang": ({"shape": "group", "pieces": 5, "vcpus": 0.1, "memoryGb": 0.0}, 8192, 0.2),
+    "chunks": ({"pieces": MOST_TASKS, "vcpus": 0.01, "memoryGb": 0.0}, 500, 0.01),
+}
+
+
+def ends_and_cancellations(world, pair, chance, cancelled_share):
+    """Ends of tasks as the holder records them and a cancellation, by controllers that read when they please."""
+    allocations = pair[0].job_cache.get("req-a").allocations
+    is_gang = pair[0].job_cache.get("req-a").spec.kind == "gang"
+    for _ in range(150):
+        controller = chance.choice(pair)
+        if chance.random() < 0.4:
+            controller.cache.catch_up(0.0, "claim")
+        allocation = chance.choice(allocations)
+        tasks = allocation.tasks & chance.getrandbits(allocation.tasks.bit_length())
+        done = (1 << MOST_TASKS) - 1 if is_gang and tasks else tasks  # a gang's tasks complete together
+        ended = {(allocation.machine, allocation.session, allocation.attempt): tasks}
+        with contextlib.suppress(NotExecutedError, OutcomeUnknownError):
+            job = controller.job_cache.get("req-a")
+            left = (job.all_tasks & ~job.done).bit_count() if job else 0
+            if (is_gang or left <= max(2, MOST_TASKS // 8)) and chance.random() < cancelled_share:
+                world.user("cancel", "req-a", chance.choice(world.nodes))
+            else:
+                controller.job_writer.change(
+                    "req-a", lambda job, _, ended=ended, done=done: job.without_tasks(ended, done & job.all_tasks), {}
+                )
+        world.now = world.steady = round(world.now + 0.5, 6)
+        world.carry_out_late()
+        for node in world.nodes:
+            world.user("poll", "req-a", node)
+
+
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("form", FORMS)
+def test_ends_and_cancellations_in_any_order_give_one_final_state(form, seed):
+    fields, max_value_bytes, cancelled_share = FORMS[form]
+    chance = random.Random(seed)
+    for world in begun():
+        pair = [world.controllers[node] for node in world.nodes]
+        for controller in pair:
+            controller.record_limits.max_value_bytes, controller.record_limits.max_writes = max_value_bytes, 4
+        world.submit("req-a", **{**JOB, **fields, "run_s": 1e9})
+        for _ in range(100):
+            world.step()
+        assert pair[0].job_cache.get("req-a").allocated == pair[0].job_cache.get("req-a").all_tasks
+        assert bool(pair[0].job_cache.get("req-a").chunks) == (form == "chunks")
+        world.lost_answers.append((world.now + 1e9, 0.1))
+        world.late_writes.append((world.now + 1e9, 0.1))
+        ends_and_cancellations(world, pair, chance, cancelled_share)
+        assert not contradicted(world.log)
+
+
 def logged(caplog, logger):
     return [record.getMessage() for record in caplog.records if record.name == logger]
 
--- a/tidebend/cluster_state/job_cache.py
+++ b/tidebend/cluster_state/job_cache.py
@@ -52,6 +52,7 @@
         self._usage = UsageIndex()
         self._allocations = AllocationIndex()
         self._dependencies = DependencyGraph(keep_finals)
+        self._unsealed: dict[str, None] = {}  # jobs whose cancellation needs sealing, in the order of their records
         self._removed_cancelled: set[str] = set()  # the cancelled jobs whose records the last removals deleted
         self._removed_at = 0  # the revision of these removals
 
@@ -168,12 +169,15 @@
         return job.with_dependencies_done(max(job.submitted, *(outcome.at for outcome in known)))
 
     def _add_to_indexes(self, job: Job) -> None:
+        if job.needs_sealing:
+            self._unsealed[job.id] = None
         self._allocations.add(job)
         self._usage.count_ended(job.spec, job.ended)
         for allocation in job.allocations:
             self._usage.count_allocated(job.spec, allocation.zone, allocation.tasks.bit_count())
 
     def _remove_from_indexes(self, job: Job) -> None:
+        self._unsealed.pop(job.id, None)
         self._allocations.remove(job)
         self._usage.count_ended(job.spec, -job.ended)
         for allocation in job.allocations:
@@ -191,6 +195,11 @@
         with self.lock:
             return list(self.jobs.values())
 
+    def unsealed(self) -> list[str]:
+        """Return the cancelled jobs that controllers of the first format version may still record as done."""
+        with self.lock:
+            return list(self._unsealed)
+
     def final(self, name: str) -> str | None:
         """Return `done` or `cancelled` if that is known to be the job's final state, also while it still lives."""
         with self.lock:
--- a/tidebend/controller/controller.py
+++ b/tidebend/controller/controller.py
@@ -122,7 +122,7 @@
         )
         self.record_limits = RecordLimits(self.settings.state_limits, self.schema_version, self.state.writes_per_s)
         self.job_writer = JobWriter(self.cache, self.job_cache, self.quota_rebalancer, self.record_limits)
-        self.cancellation_sealer = CancellationSealer(self.job_cache, self.job_writer, self.schema_version)
+        self.cancellation_sealer = CancellationSealer(self.job_cache, self.job_writer)
         self.final_lookup = FinalRecordLookup(self.state, self.job_cache)
 
     def _create_scheduler(self) -> None:
--- a/tidebend/controller/records/cancellation_sealer.py
+++ b/tidebend/controller/records/cancellation_sealer.py
@@ -5,29 +5,27 @@
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import Job
 from tidebend.controller.records.job_writer import JobEdit, JobWriter
-from tidebend.coordination.schema_version import SchemaVersion
 from tidebend.kvclient import NotExecutedError
 from tidebend.quota import TeamUsage
 
 
 class CancellationSealer:
-    """Keeps cancelled jobs cancelled while controllers of the first schema version may still record them as done.
+    """Keeps cancelled jobs cancelled, though controllers of the first schema version may record them as done.
 
-    How a record is sealed: see `Job`. Once a later schema version is in force there are no such controllers any more.
+    How a record is sealed: see `Job`. Such a controller may have ended long ago: its transactions may be executed late.
     """
 
-    def __init__(self, job_cache: JobCache, job_writer: JobWriter, schema_version: SchemaVersion) -> None:
+    def __init__(self, job_cache: JobCache, job_writer: JobWriter) -> None:
         """Seal the jobs in `job_cache`."""
         self._job_cache = job_cache
         self._job_writer = job_writer
-        self._schema_version = schema_version
 
     def seal(self, job_id: str) -> None:
         """Make sure that a job that is known to be cancelled stays so, whoever recorded it.
 
         Raises `NotExecutedError` if that can't be had now, or what `JobWriter.change_all` raises.
         """
-        if self._schema_version.pipelines or not self._needs_sealing(job_id):
+        if not self._needs_sealing(job_id):
             return
         self._write([job_id])
         if self._needs_sealing(job_id):
@@ -38,9 +36,7 @@
 
         Several controllers may try at the same time: the first one succeeds. Raises what `JobWriter.change_all` raises.
         """
-        if self._schema_version.pipelines:
-            return
-        unsealed = [job.id for job in self._job_cache.live() if job.needs_sealing]
+        unsealed = self._job_cache.unsealed()
         if unsealed:
             self._write(unsealed)
 
