--- a/simulation/drivers.py
+++ b/simulation/drivers.py
@@ -45,7 +45,7 @@
 
     def mapping_event(self) -> None:
         """Place waiting tasks."""
-        self.controller.planner.mapping_event()
+        self.controller.scheduling_loop.mapping_event()
 
     def send_next_command(self) -> bool:
         """Send direct commands to one machine; False if none wait."""
--- a/tests/test_final_states.py
+++ b/tests/test_final_states.py
@@ -259,18 +259,18 @@
     world.cancelled_through = "n0"
     world.upgrade("n1", 1.0)
     play(world, nothing, jobs=4)
-    versions = logged(caplog, "formats")
-    assert [row.partition(" as of")[0] for row in versions].count("format 1 is in force") == 2
-    assert versions.count("announced that this process reads up to format 2") == 2
+    versions = logged(caplog, "schema_version")
+    assert [row.partition(" as of")[0] for row in versions].count("schema version 1 is in force") == 2
+    assert versions.count("announced that this process reads up to schema version 2") == 2
     for name in told_cancelled(world):
-        assert any(re.fullmatch(rf"job {name}: withdrawn, as of revision \d+", row) for row in logged(caplog, "users"))
-    ended = [row for row in logged(caplog, "ledger") if ": cancelled at revision " in row]
+        assert any(re.fullmatch(rf"job {name}: withdrawn, as of revision \d+", row) for row in logged(caplog, "api"))
+    ended = [row for row in logged(caplog, "records") if ": cancelled at revision " in row]
     assert ended  # by this version; former controllers say nothing
     for row in ended:
         assert re.fullmatch(
             r"job \S+: cancelled at revision \d+, by its record of revision \d+; \d of \d tasks done", row
         )
-    assert not logged(caplog, "jobs")
+    assert not logged(caplog, "cluster_state")
 
 
 def test_the_log_tells_of_a_final_record_that_contradicts_a_cancellation(former, caplog):
@@ -278,7 +278,9 @@
     world.cancelled_through = "n1"
     with mock.patch.object(CancellationSealer, "seal_all"):
         play(world, nothing, jobs=4)
-    in_the_log = {row.split()[1].rstrip(":") for row in logged(caplog, "jobs") if "was cancelled before" in row}
+    in_the_log = {
+        row.split()[1].rstrip(":") for row in logged(caplog, "cluster_state") if "was cancelled before" in row
+    }
     assert in_the_log
     assert in_the_log == contradicted(world.log)
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -139,9 +139,9 @@
 def test_spread_is_checked_against_the_record_of_the_claim(world):
     first, _ = stale_pair(world, a=spec(shape="service", pieces=2, vcpus=1.0, spread=True))
     now = time.monotonic()
-    places = first.planner.free_capacity.usable_machines(now, time.time())
+    places = first.scheduling_loop.free_capacity.usable_machines(now, time.time())
     name = next(name for name, scheduled in places.items() if scheduled.candidate.zone == "north")
-    first.planner.allocator.allocate({"a": [Placement("a", name, 2, now, now + 1, True)]}, places)
+    first.scheduling_loop.allocator.allocate({"a": [Placement("a", name, 2, now, now + 1, True)]}, places)
     assert first.job_cache.get("a").per_zone() == {"north": 1}
 
 
@@ -170,11 +170,11 @@
     machine.tasks = {("a", 0, 1): TaskReport("a", 0, 1, "ended", "stopped", False)}
     machine.needs_reconciliation, confirmed = True, machine.token
     machine.token = confirmed - 1
-    first.planner.completions.recorder.gather_s = 0.0
-    first.planner.mapping_event()
+    first.scheduling_loop.completions.recorder.gather_s = 0.0
+    first.scheduling_loop.mapping_event()
     assert first.job_cache.get("a").allocations
     machine.token = confirmed
-    first.planner.mapping_event()
+    first.scheduling_loop.mapping_event()
     assert not first.job_cache.get("a").allocations
 
 
@@ -290,10 +290,10 @@
         whole(body),
     )[1]
     now = time.monotonic()
-    places = first.planner.free_capacity.usable_machines(now, time.time())
+    places = first.scheduling_loop.free_capacity.usable_machines(now, time.time())
     group = [Placement("a", name, 40, now, now + 1, True) for name in places]
     for _ in range(20):
-        first.planner.allocator.allocate({"a": group}, places)
+        first.scheduling_loop.allocator.allocate({"a": group}, places)
     job = first.job_cache.get("a")
     assert job.chunks
     assert len(job.allocations) > 20
@@ -304,7 +304,7 @@
     while first.job_cache.get("a").allocations:
         ended = UnrecordedCompletions(everything, done)
         assert first.job_writer.change(
-            "a", lambda job, _, ended=ended: first.planner.completions.job_with_completions(job, _, ended), {}
+            "a", lambda job, _, ended=ended: first.scheduling_loop.completions.job_with_completions(job, _, ended), {}
         )
     after = first.job_cache.get("a")
     assert (after.done, after.charged, after.started) == (done, job.charged, job.started)
@@ -533,7 +533,7 @@
 
 def test_no_room_is_made_where_the_work_would_not_be_placed(world):
     """A replica that keeps off GPUs gets no room on a machine that has some, however little a stop there loses."""
-    planner = world.controllers["n0"].planner
+    scheduling_loop = world.controllers["n0"].scheduling_loop
     kinds = [
         MachineType(name, 8.0, gpus, 32.0, 50.0, 1.0, 1.0, 0.4, 10.0, ("north",))
         for name, gpus in (("plain", 0.0), ("accelerated", 2.0))
@@ -546,7 +546,7 @@
         rows.append(MachineWithVictims(place, machine, (0.0, 0.0, 31.0), [victim]))
     made = spec(shape="service", rank="critical", vcpus=2.0, driftwood=False)
     want = TaskRequest("req-s", made, value_of(own_demand(made, 0.0, 1.0), 0.0, 1.0), 1.0, 1, avoids_gpus=True)
-    planner.preemptor.make_room_for(want, 3, list(rows), 0.0)
+    scheduling_loop.preemptor.make_room_for(want, 3, list(rows), 0.0)
     assert [bool(row.machine.stop_requests) for row in rows] == [True, False]
 
 
--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -139,10 +139,10 @@
             assert not controller.job_cache.machines() - world.workers.keys()
             # no request is under way between steps, so that nothing but the newest read's deletions is kept
             assert len(controller.cache._tombstones) <= 20, len(controller.cache._tombstones)
-            assert len(controller.planner.claim_stagger._since) < 3
-            assert len(controller.planner.allocator.last_allocation) < 3
+            assert len(controller.scheduling_loop.claim_stagger._since) < 3
+            assert len(controller.scheduling_loop.allocator.last_allocation) < 3
             assert len(controller.autoscaler.cancelled_work._cancelled_since) < 3
-            assert len(controller.planner.completions.recorder._waiting_since) < 3
+            assert len(controller.scheduling_loop.completions.recorder._waiting_since) < 3
         late = [after for _, after in starts_after_cancellation(world.log)]
         assert len(late) <= 0.02 * asked, late
         assert max(late, default=0.0) < 2.0, late
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -54,8 +54,8 @@
 def test_a_rate_limited_log_tells_each_message_once_in_an_interval(caplog, monkeypatch):
     now = [100.0]
     monkeypatch.setattr("time.monotonic", lambda: now[0])
-    limited = RateLimitedLog(logging.getLogger("users"), 10.0)
-    with caplog.at_level(logging.INFO, "users"):
+    limited = RateLimitedLog(logging.getLogger("api"), 10.0)
+    with caplog.at_level(logging.INFO, "api"):
         for at, message in ((100.0, "a"), (105.0, "a"), (105.0, "b"), (110.0, "a"), (110.5, "a")):
             now[0] = at
             limited.info(message)
--- a/tests/test_tenancy.py
+++ b/tests/test_tenancy.py
@@ -67,9 +67,9 @@
     for machine in first.machine_registry.all():
         machine.last_heartbeat = -1e9
     first.cache.catch_up(0.0, "claim")
-    first.planner.mapping_event()
-    world.steady += 2 * first.planner.completions.allocation_pause_s
-    first.planner.mapping_event()
+    first.scheduling_loop.mapping_event()
+    world.steady += 2 * first.scheduling_loop.completions.allocation_pause_s
+    first.scheduling_loop.mapping_event()
     second.cache.catch_up(0.0, "claim")
     while claim_in(second, "south", "b", 1 << tasks) is not None:
         tasks += 1
@@ -115,7 +115,7 @@
 
 def test_a_gang_that_needs_more_than_is_free_has_shares_given_back(world):
     first, _ = stale_pair(world, g=spec(shape="group", pieces=6, vcpus=1.0))
-    quota_releaser, job = first.planner.quota_releaser, first.job_cache.get("g")
+    quota_releaser, job = first.scheduling_loop.quota_releaser, first.job_cache.get("g")
     shares = first.job_cache.team("team").shares
     assert shares is not None
     value = {"north": [1.0, 0.0], "south": [2.0, 0.0]}  # five are free, and the gang takes six
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -123,7 +123,7 @@
             late(holder, raw)
             world.steady += 0.5
         assert holder.machine_registry.machines[worker.name].last_heartbeat <= began  # the first alone
-        assert worker.name not in holder.planner.free_capacity.usable_machines(world.steady, time.time())
+        assert worker.name not in holder.scheduling_loop.free_capacity.usable_machines(world.steady, time.time())
 
 
 TROUBLES = {
@@ -229,14 +229,14 @@
     """Its other replicas hold their places for ever: taken for tries, they would keep it from being tried."""
     for world in busy(1, 1.0, 10.0):
         first = world.controllers["n0"]
-        first.planner.completions.backoffs["req-s"] = RetryBackoff(
+        first.scheduling_loop.completions.backoffs["req-s"] = RetryBackoff(
             failures=3, machines=dict.fromkeys(["a", "b", "c"], 0.0)
         )
         spec = parse_job({**JOB, "shape": "service", "pieces": 2})
         claimed = Job("req-s", 1, spec, 0.0).with_allocations([Allocation("vm-far", 1, 1, 1, time.time(), "south")])
-        assert first.planner.completions.is_crash_looping(claimed, time.monotonic())
+        assert first.scheduling_loop.completions.is_crash_looping(claimed, time.monotonic())
         world.now += 2.5 * 10.0
-        assert not first.planner.completions.is_crash_looping(claimed, time.monotonic())
+        assert not first.scheduling_loop.completions.is_crash_looping(claimed, time.monotonic())
 
 
 def test_a_gangs_replacement_avoids_the_machine_that_still_knows_its_attempt():
@@ -247,5 +247,5 @@
         gang = Job("req-g", 1, spec, 0.0).with_allocations([Allocation("vm-000001", 1, 1, 1, time.time(), "north")])
         machine = first.machine_registry.machines["vm-000000"]
         machine.tasks["req-g", 1, 1] = TaskReport("req-g", 1, 1, "ended", "error", False)
-        assert first.planner.pending_jobs._know_the_attempt(gang) == {"vm-000000"}
-        assert not first.planner.pending_jobs._know_the_attempt(Job("req-g", 1, spec, 0.0))
+        assert first.scheduling_loop.pending_jobs._know_the_attempt(gang) == {"vm-000000"}
+        assert not first.scheduling_loop.pending_jobs._know_the_attempt(Job("req-g", 1, spec, 0.0))
--- a/tidebend/cluster_state/job_cache.py
+++ b/tidebend/cluster_state/job_cache.py
@@ -17,7 +17,7 @@
 from tidebend.kvclient import FINAL
 from tidebend.quota import QuotaAmount, TeamUsage, UsageIndex
 
-log = logging.getLogger("jobs")
+log = logging.getLogger("cluster_state")
 
 
 @dataclass(slots=True)
--- a/tidebend/controller/api/job_api.py
+++ b/tidebend/controller/api/job_api.py
@@ -31,7 +31,7 @@
 from tidebend.settings import Settings
 from tidebend.transport import Reply
 
-log = logging.getLogger("users")
+log = logging.getLogger("api")
 
 # the longest wait for a read of the state service, in seconds: users wait 2 s for the answer to a poll
 MAX_READ_S = 1.2
--- a/tidebend/controller/api/replies.py
+++ b/tidebend/controller/api/replies.py
@@ -9,7 +9,7 @@
 
 from tidebend.transport import BadRequestError, Reply
 
-log = logging.getLogger("users")
+log = logging.getLogger("api")
 
 RETRY_LATER = {"Retry-After": "1"}  # seconds
 # the least time in seconds between two log messages about the same cause of a 503
--- a/tidebend/controller/autoscaling/autoscaler.py
+++ b/tidebend/controller/autoscaling/autoscaler.py
@@ -33,7 +33,7 @@
 from tidebend.threads import start_daemon
 from tidebend.transport import HttpClient
 
-log = logging.getLogger("rentals")
+log = logging.getLogger("autoscaling")
 
 # seconds between checks of the machines, at most; with jitter, so that controllers don't step in time
 MAX_CHECK_INTERVAL_S = 1.0
@@ -203,7 +203,7 @@
             except InvalidMessageError as error:
                 log.error("cloud: unexpected answer: %s", error)
             except Exception:
-                log.exception("rentals")
+                log.exception("autoscaling")
             time.sleep(interval_s * random.uniform(*SCALE_JITTER))
 
     def scale_once(self) -> None:
--- a/tidebend/controller/autoscaling/cloud_client.py
+++ b/tidebend/controller/autoscaling/cloud_client.py
@@ -10,7 +10,7 @@
 from tidebend.settings import Settings
 from tidebend.transport import HttpClient, NoAnswerError, TokenBucket, UnreachableError
 
-log = logging.getLogger("rentals")
+log = logging.getLogger("autoscaling")
 
 # the cloud takes bursts of so many seconds' worth of calls
 CALLS_BURST_S = 2.0
--- a/tidebend/controller/autoscaling/machine_releaser.py
+++ b/tidebend/controller/autoscaling/machine_releaser.py
@@ -18,7 +18,7 @@
 from tidebend.quota import TeamUsage
 from tidebend.settings import Settings
 
-log = logging.getLogger("rentals")
+log = logging.getLogger("autoscaling")
 
 # the cloud takes so many names in one release
 MAX_NAMES = 100
@@ -103,7 +103,7 @@
         try:
             self._job_writer.change_all([JobEdit(job, edit) for job in jobs])
         except (NotExecutedError, OutcomeUnknownError) as error:
-            log.info("%s keep claims on machines that are gone: %s", ", ".join(jobs), error)
+            log.info("%s keep allocations on machines that are gone: %s", ", ".join(jobs), error)
             return
         self._wake_scheduler()
 
--- a/tidebend/controller/autoscaling/provisioner.py
+++ b/tidebend/controller/autoscaling/provisioner.py
@@ -12,7 +12,7 @@
 from tidebend.controller.autoscaling.cloud_client import CloudClient, CloudResponse
 from tidebend.controller.autoscaling.tracked_machines import TrackedMachine, TrackedMachines
 
-log = logging.getLogger("rentals")
+log = logging.getLogger("autoscaling")
 
 # the text with which the cloud says that it has no capacity for an offer
 NO_CAPACITY = "no capacity"
--- a/tidebend/controller/controller.py
+++ b/tidebend/controller/controller.py
@@ -34,7 +34,7 @@
 from tidebend.settings import Settings
 from tidebend.transport import HttpClient, Reply, Server
 
-log = logging.getLogger("service")
+log = logging.getLogger("controller")
 
 STACK_BYTES = 256 * 1024  # of each thread
 GC_THRESHOLDS = (5000, 20, 50)
@@ -126,7 +126,7 @@
         self.final_lookup = FinalRecordLookup(self.state, self.job_cache)
 
     def _create_scheduler(self) -> None:
-        self.planner = SchedulingLoop(
+        self.scheduling_loop = SchedulingLoop(
             self.settings,
             self.coordinator,
             self.job_cache,
@@ -152,7 +152,7 @@
             self.job_cache,
             self.machine_registry,
             self.job_writer,
-            self.planner,
+            self.scheduling_loop,
             self.zone_probe,
             self._connect,
         )
@@ -162,7 +162,7 @@
             self.coordinator,
             self.schema_version,
             self.machine_registry,
-            self.planner.completions,
+            self.scheduling_loop.completions,
             self.autoscaler,
             self.zone_probe,
         )
@@ -178,7 +178,7 @@
             self.schema_version,
             self.cancellation_sealer,
             self._machine_types,
-            self.planner.wake,
+            self.scheduling_loop.wake,
             self.final_lookup.look_up,
         )
         self.heartbeats = HeartbeatHandler(
@@ -187,7 +187,7 @@
             self.job_cache,
             self.machine_registry,
             self.coordinator,
-            self.planner.wake,
+            self.scheduling_loop.wake,
             self.zone_probe.record_report,
         )
         self.readiness = Readiness(self.settings, self.cache, self.peer_exchange, self._machine_types)
@@ -196,7 +196,7 @@
     # Looked up when called, since the parts that need them are created before those that have them.
 
     def _wake_scheduler(self) -> None:
-        self.planner.wake()
+        self.scheduling_loop.wake()
 
     def _machine_types(self) -> dict[str, protocol.MachineType]:
         return self.autoscaler.types
@@ -212,9 +212,9 @@
             # from now on the limits that are announced for the time after an upgrade may be in force
             self.state.keep_within(self.settings.state_next)
             self.record_limits.apply(self.settings.state_next, self.state.writes_per_s)
-            log.info("format %d is in force", self.schema_version.version)
+            log.info("schema version %d is in force", self.schema_version.version)
         if key.startswith((JOB, HEAD, CHUNK, FINAL)):
-            self.planner.wake()
+            self.scheduling_loop.wake()
         else:
             self.coordinator.wake.set()
 
@@ -237,7 +237,7 @@
         self.command_dispatcher.start()
         if self.settings.peers:
             self.zone_probe.start()
-        self.planner.start()
+        self.scheduling_loop.start()
         self.autoscaler.start()
 
     def start(self) -> Server:
@@ -260,6 +260,6 @@
     threading.stack_size(STACK_BYTES)
     gc.set_threshold(*GC_THRESHOLDS)
     server = Controller(settings).start()
-    log.info("version %s, reads up to format %d", __version__, NEWEST)
+    log.info("version %s, reads up to schema version %d", __version__, NEWEST)
     log.info("%s in %s serves on %s:%d", settings.name, settings.zone, *settings.listen)
     server.serve_forever(poll_interval=5.0)
--- a/tidebend/controller/quota/quota_rebalancing.py
+++ b/tidebend/controller/quota/quota_rebalancing.py
@@ -27,7 +27,7 @@
 )
 from tidebend.settings import Settings, Team
 
-log = logging.getLogger("ledger")
+log = logging.getLogger("quota")
 
 NOTHING: QuotaAmountLike = (0.0, 0.0)
 
--- a/tidebend/controller/records/chunked_transactions.py
+++ b/tidebend/controller/records/chunked_transactions.py
@@ -13,7 +13,7 @@
 from tidebend.protocol import Write
 from tidebend.quota import TeamUsage
 
-log = logging.getLogger("ledger")
+log = logging.getLogger("records")
 
 # writes besides the chunks: the head and the team's record
 WRITES_BESIDES_CHUNKS = 2
@@ -91,7 +91,7 @@
             value = chunk.pack(number * index.size)
             size_bytes = packed_bytes(value)
             if size_bytes > self._record_limits.max_value_bytes:
-                log.error("job %s: a part's record would be too long", job.id)
+                log.error("job %s: a chunk's record would be too long", job.id)
                 return None
             written.size_bytes += size_bytes
             written.writes.append(put(key, value))
--- a/tidebend/controller/records/completion_recorder.py
+++ b/tidebend/controller/records/completion_recorder.py
@@ -17,7 +17,7 @@
 from tidebend.quota import QuotaAmountLike, TeamUsage
 from tidebend.settings import Settings
 
-log = logging.getLogger("planner")
+log = logging.getLogger("completions")
 
 # the share of our writes to the state service that completions which aren't urgent may take, about
 COMPLETIONS_WRITE_SHARE = 0.25
--- a/tidebend/controller/records/edit_batches.py
+++ b/tidebend/controller/records/edit_batches.py
@@ -15,7 +15,7 @@
 from tidebend.protocol import Write
 from tidebend.quota import QUOTA, TEAM, QuotaAmountLike, TeamUsage
 
-log = logging.getLogger("ledger")
+log = logging.getLogger("records")
 
 
 @dataclass
--- a/tidebend/controller/records/job_writer.py
+++ b/tidebend/controller/records/job_writer.py
@@ -26,7 +26,7 @@
 
 __all__ = ["JobEdit", "JobWriter"]
 
-log = logging.getLogger("ledger")
+log = logging.getLogger("records")
 
 # transactions that may fail in one call, for conflicts or their size
 DEFAULT_TRIES = 4
--- a/tidebend/controller/records/record_splitter.py
+++ b/tidebend/controller/records/record_splitter.py
@@ -14,7 +14,7 @@
 from tidebend.kvclient import ConflictError, WatchCache
 from tidebend.protocol import Write
 
-log = logging.getLogger("ledger")
+log = logging.getLogger("records")
 
 
 @dataclass
@@ -69,7 +69,7 @@
             self._cache.barrier(self._cache.state.timeout, "claim")
             return False
         chunks = len(split_job.open_chunks) + split_job.finished_chunks.bit_count()
-        log.info("job %s is kept in %d parts from now on", job_id, chunks)
+        log.info("job %s is kept in %d chunks from now on", job_id, chunks)
         return True
 
     def _split_to_fit(self, job: Job) -> _SplitJob:
--- a/tidebend/controller/records/retry_backoff.py
+++ b/tidebend/controller/records/retry_backoff.py
@@ -14,7 +14,7 @@
 from tidebend.cluster_state.task_bitmap import members
 from tidebend.settings import Settings
 
-log = logging.getLogger("planner")
+log = logging.getLogger("completions")
 
 # a job that has failed on this many machines, and runs nowhere, is assumed to be faulty itself
 CRASH_LOOP_MACHINES = 3
--- a/tidebend/controller/records/task_outcomes.py
+++ b/tidebend/controller/records/task_outcomes.py
@@ -10,7 +10,7 @@
 from tidebend.controller.records.retry_backoff import RetryBackoffs
 from tidebend.controller.scheduler.run_time_estimates import RunTimeEstimates
 
-log = logging.getLogger("planner")
+log = logging.getLogger("completions")
 
 # failures of one job on one machine that are closer together than this, in seconds, were reported together
 SAME_REPORT_S = 0.01
--- a/tidebend/controller/scheduler/allocator.py
+++ b/tidebend/controller/scheduler/allocator.py
@@ -20,7 +20,7 @@
 from tidebend.scheduling import Demand, Placement, TaskRequest, value_of
 from tidebend.settings import Settings
 
-log = logging.getLogger("planner")
+log = logging.getLogger("scheduler")
 
 
 class Allocator:
@@ -75,7 +75,7 @@
     def _note_claim(self, job: Job, group: list[Placement], now: float) -> None:
         if job.allocated_count >= sum(placement.tasks for placement in group):
             self.last_allocation[job.id] = now  # else more of its parts follow at once
-        log.debug("claimed for %s: %s", job.id, [(placement.machine, placement.tasks) for placement in group])
+        log.debug("allocated for %s: %s", job.id, [(placement.machine, placement.tasks) for placement in group])
 
     def _completions_before(self, placements: dict[str, list[Placement]]) -> list[JobEdit]:
         """Completions of other jobs of teams whose limit has no room for their claims until these are recorded.
--- a/tidebend/controller/scheduler/preemption.py
+++ b/tidebend/controller/scheduler/preemption.py
@@ -30,7 +30,7 @@
 )
 from tidebend.settings import Settings
 
-log = logging.getLogger("planner")
+log = logging.getLogger("scheduler")
 
 # a task that saves its state is given so many times as long as its save takes
 GRACE_PER_SAVE = 1.5
--- a/tidebend/controller/scheduler/scheduling_loop.py
+++ b/tidebend/controller/scheduler/scheduling_loop.py
@@ -33,7 +33,7 @@
 from tidebend.settings import Settings
 from tidebend.zone_failover import share_of_tasks
 
-log = logging.getLogger("planner")
+log = logging.getLogger("scheduler")
 
 # planning rests for this many times as long as its last event took, and at most for a share of a worker's lease
 REST_PER_EVENT = 12.0
@@ -87,7 +87,7 @@
 
     def start(self) -> None:
         """Start the thread; it runs as long as the process."""
-        threading.Thread(target=self._run, name="planner", daemon=True).start()
+        threading.Thread(target=self._run, name="scheduler", daemon=True).start()
 
     def wake(self) -> None:
         """Have the next event begin soon."""
@@ -101,10 +101,10 @@
             try:
                 self.mapping_event()
             except (NotExecutedError, OutcomeUnknownError) as error:
-                log.info("planner: %s", error)
+                log.info("mapping event: %s", error)
                 time.sleep(pause)
             except Exception:
-                log.exception("planner")
+                log.exception("mapping event")
                 time.sleep(PAUSE_AFTER_FAILURE_S)
             time.sleep(pause)
 
--- a/tidebend/controller/workers/zone_probe.py
+++ b/tidebend/controller/workers/zone_probe.py
@@ -21,7 +21,7 @@
 from tidebend.threads import start_daemon
 from tidebend.transport import HttpClient, NoAnswerError, UnreachableError
 
-log = logging.getLogger("witness")
+log = logging.getLogger("zone_probe")
 
 Address = tuple[str, int]  # host, port
 
@@ -187,7 +187,7 @@
             try:
                 self._send(self._queue.get())
             except Exception:
-                log.exception("witness")
+                log.exception("zone probe")
 
     def probe_next(self) -> bool:
         """Send one probe on the caller's thread; False if none is waiting."""
--- a/tidebend/coordination/schema_version.py
+++ b/tidebend/coordination/schema_version.py
@@ -18,7 +18,7 @@
 
 __all__ = ["FORMAT", "NEWEST", "PIPELINES", "READS", "SchemaVersion", "show"]
 
-log = logging.getLogger("formats")
+log = logging.getLogger("schema_version")
 
 FIRST = 1
 PIPELINES = 2
@@ -55,12 +55,12 @@
         """
         if not self._has_logged_version:
             self._has_logged_version = True
-            log.info("format %d is in force as of revision %d", self.version, self.cache.revision)
+            log.info("schema version %d is in force as of revision %d", self.version, self.cache.revision)
         key = READS + self.settings.name
         value, version = self.cache.get(key)
         if _newest_read(value) < NEWEST:
             self._put(key, ReadsRecord(NEWEST).pack(), {key: version})
-            log.info("announced that this process reads up to format %d", NEWEST)
+            log.info("announced that this process reads up to schema version %d", NEWEST)
 
     def raise_if_all_read(self, leader: Mapping[str, int]) -> None:
         """Raise the format if all controllers read it; `leader` is the condition that we still lead.
@@ -77,7 +77,7 @@
             conditions[READS + name] = version
         _, version = self.cache.get(FORMAT)
         self._put(FORMAT, FormatRecord(NEWEST).pack(), {**conditions, FORMAT: version})
-        log.info("format %d is in force from now on; there is no way back below it", NEWEST)
+        log.info("schema version %d is in force from now on; there is no way back below it", NEWEST)
 
     def _put(self, key: str, value: dict[str, Any], conditions: dict[str, int]) -> None:
         self.cache.write(conditions, [(key, value, None)], RequestKind.LEASE)
--- a/tidebend/kvclient/client.py
+++ b/tidebend/kvclient/client.py
@@ -24,7 +24,7 @@
 from tidebend.settings import Limits
 from tidebend.transport import HttpClient, NoAnswerError, UnreachableError
 
-log = logging.getLogger("storage")
+log = logging.getLogger("kvclient")
 
 MAX_CONNECTIONS = 6
 ITEMS_PER_PAGE = 500
@@ -231,7 +231,7 @@
     if status == BAD_REQUEST and isinstance(answer, dict) and answer.get("error") == "no such lease":
         return LeaseNotFoundError()
     if status == BAD_REQUEST:
-        log.error("state service: a transaction of %d changes is refused: %s", writes, answer)
+        log.error("key-value store: a transaction of %d changes is refused: %s", writes, answer)
         return TransactionTooLargeError()
-    log.error("state service: unexpected %s to a transaction: %s", status, answer)
+    log.error("key-value store: unexpected %s to a transaction: %s", status, answer)
     return OutcomeUnknownError(f"unexpected status {status}")
--- a/tidebend/kvclient/read_barrier.py
+++ b/tidebend/kvclient/read_barrier.py
@@ -11,7 +11,7 @@
 from tidebend.kvclient.request_kinds import BUDGET_FLOORS, RequestKind
 from tidebend.kvclient.steady_time import NEVER
 
-log = logging.getLogger("storage")
+log = logging.getLogger("kvclient")
 
 # after so many reads in a row that failed, polls are read for as claims are
 MAX_FAILED_READS = 3
--- a/tidebend/kvclient/watch_cache.py
+++ b/tidebend/kvclient/watch_cache.py
@@ -21,7 +21,7 @@
 from tidebend.kvclient.tombstones import Tombstones
 from tidebend.protocol import Write
 
-log = logging.getLogger("storage")
+log = logging.getLogger("kvclient")
 
 
 class WatchCache:
--- a/tidebend/kvstore/commit_queue.py
+++ b/tidebend/kvstore/commit_queue.py
@@ -21,7 +21,7 @@
 from tidebend.kvstore.operations import Commit, EndExpiredLeases, Operation
 from tidebend.kvstore.watch_feed import WatchFeed
 
-log = logging.getLogger("store")
+log = logging.getLogger("kvstore")
 
 MOST_IN_A_COMMIT = 256
 MOST_WAITING = 4096
