--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -42,9 +42,9 @@
             lambda: None,
         )
         # a disk that others keep busy takes seconds for a sync at times; nothing here is about how long that is
-        self.worker.ask = functools.partial(self.worker.ask, timeout=30.0)
+        self.worker.call = functools.partial(self.worker.call, timeout=30.0)
         self.thread = self.worker.start()
-        self.worker.ask(lambda: None)  # its session has begun
+        self.worker.call(lambda: None)  # its session has begun
 
     @property
     def session(self):
@@ -53,11 +53,11 @@
     def answer(self, *commands, token=1, session=None, sent=None):
         session = self.session if session is None else session
         sent = time.clock_gettime(time.CLOCK_BOOTTIME) if sent is None else sent
-        return self.worker.ask(lambda: self.worker.answered(Answer(token, list(commands)), session, sent))
+        return self.worker.call(lambda: self.worker.apply_answer(Answer(token, list(commands)), session, sent))
 
     def direct(self, *commands, token=1, session=None):
         session = self.session if session is None else session
-        return self.worker.ask(lambda: self.worker.direct(Direct(token, session, list(commands))))
+        return self.worker.call(lambda: self.worker.execute_direct(Direct(token, session, list(commands))))
 
     def start(self, *indexes, job=JOB, attempt=1, **more):
         self.answer(*(Command("start", job, index, attempt) for index in indexes), **more)
@@ -66,10 +66,10 @@
     def describe(self):
         while self.wanted:
             job = self.wanted.pop()
-            self.worker.ask(lambda job=job: self.worker.described(job, self.descriptions.get(job)))
+            self.worker.call(lambda job=job: self.worker.apply_description(job, self.descriptions.get(job)))
 
     def states(self):
-        rows = self.worker.ask(self.worker.report)[0]["pieces"]
+        rows = self.worker.call(self.worker.report)[0]["pieces"]
         return {row["piece"].partition("/")[2]: (row["tide"], row.get("cause")) for row in rows}
 
     def until(self, what, seconds=30.0):
@@ -83,7 +83,7 @@
 
     def end(self):
         if self.thread.is_alive():
-            self.worker.ask(self.worker.stop, timeout=20.0)
+            self.worker.call(self.worker.stop, timeout=20.0)
             self.thread.join(10.0)
         self.write_ahead_log.close()
 
@@ -258,7 +258,7 @@
     )
     for index in range(3):
         one.until_state(index, "ended", "stopped")
-    rows = {row["piece"]: row.get("stored") for row in one.worker.ask(one.worker.report)[0]["pieces"]}
+    rows = {row["piece"]: row.get("stored") for row in one.worker.call(one.worker.report)[0]["pieces"]}
     assert rows == {f"{JOB}/0": True, f"{JOB}/1": None, f"{JOB}/2": None}
     assert (tmp_path / "c" / JOB / "0" / "c").exists()
 
@@ -354,9 +354,9 @@
     assert not (one.worker.directory / "images/slow.ready").exists()
     # a gang's task without its image isn't there yet for its mates
     one.start(6, job="req-4")
-    assert one.worker.ask(one.worker.gathering) == []
-    one.until(lambda: [phase for _, phase in one.worker.ask(one.worker.gathering)] == ["waiting"])
-    one.until(lambda: one.worker.ask(one.write_ahead_log.begun) == [])
+    assert one.worker.call(one.worker.gang_members) == []
+    one.until(lambda: [phase for _, phase in one.worker.call(one.worker.gang_members)] == ["waiting"])
+    one.until(lambda: one.worker.call(one.write_ahead_log.begun) == [])
 
 
 def test_gang_tasks_start_and_end_together(agent):
@@ -371,12 +371,12 @@
 
     def tell(verdict):
         return [
-            one.worker.ask(lambda task=task: one.worker.mustered(task, GangVerdict(verdict)))
-            for task, _ in one.worker.ask(one.worker.gathering)
+            one.worker.call(lambda task=task: one.worker.apply_gang_verdict(task, GangVerdict(verdict)))
+            for task, _ in one.worker.call(one.worker.gang_members)
         ]
 
     tell("start")
-    one.until(lambda: [phase for _, phase in one.worker.ask(one.worker.gathering)] == ["finished"] * 2)
+    one.until(lambda: [phase for _, phase in one.worker.call(one.worker.gang_members)] == ["finished"] * 2)
     assert {state for state, _ in one.states().values()} == {"running"}  # until all are known to be through
     tell("done")
     assert set(one.states().values()) == {("ended", "done")}
@@ -444,15 +444,15 @@
         pages = one.write_ahead_log._connection.execute("PRAGMA page_count").fetchone()[0]
         one.write_ahead_log._connection.execute(f"PRAGMA max_page_count = {pages if yes else 10**6}")
 
-    one.worker.ask(lambda: full(True))
+    one.worker.call(lambda: full(True))
     one.start(*range(1, 200), attempt=1)
     one.until(lambda: ("ended", "error") in one.states().values())
     running = [index for index, state in one.states().items() if state == ("running", None)]
     one.until(lambda: len(pids(log)) == len(running))
     assert {row.task for row in one.write_ahead_log.begun() if row.pid} == {f"{JOB}/{index}" for index in running}
-    one.worker.ask(lambda: full(False))
+    one.worker.call(lambda: full(False))
     one.answer(*(Command("stop", JOB, int(index), 1, 0.0) for index in running))
-    one.until(lambda: one.worker.ask(one.write_ahead_log.begun) == [])
+    one.until(lambda: one.worker.call(one.write_ahead_log.begun) == [])
 
 
 def test_a_process_id_that_was_given_to_another_is_left_alone(tmp_path):
--- a/tidebend/access/authentication.py
+++ b/tidebend/access/authentication.py
@@ -47,6 +47,8 @@
 
 
 class AuthenticatedServer(Server):
+    """A server that answers only those who show a key in force, with TLS if that is configured."""
+
     def __init__(
         self,
         address: tuple[str, int],
@@ -78,9 +80,16 @@
 
     @property
     def port(self) -> int:
-        return self.server_address[1]
+        """The port that it listens on."""
+        return self.server_port
+
+    @property
+    def host(self) -> str:
+        """The address that it listens on."""
+        return self.server_name
 
     def get_request(self) -> tuple[Any, Any]:
+        """Accept a connection."""
         connection, address = super().get_request()
         if self._tls is not None:
             # the handshake is done by the connection's thread, with its first read
@@ -88,6 +97,7 @@
         return connection, address
 
     def process_request(self, request: Any, client_address: Any) -> None:
+        """Serve an accepted connection; the oldest one without a key makes room for it if there are too many."""
         with self._tables:
             oldest = next(iter(self._guests)) if len(self._guests) >= self._most_guests else None
             if oldest is not None:
@@ -98,24 +108,29 @@
         super().process_request(request, client_address)
 
     def shutdown_request(self, request: Any) -> None:
+        """Forget a connection and close it."""
         with self._tables:
             self._guests.pop(request, None)
             self._reading.pop(request, None)
         super().shutdown_request(request)
 
     def server_close(self) -> None:
+        """Stop listening, and stop looking after connections."""
         self._closed.set()
         super().server_close()
 
     def came_in(self, connection: socket.socket) -> None:
+        """Note that a connection has shown a key."""
         with self._tables:
             self._guests.pop(connection, None)
 
     def reads(self, connection: socket.socket) -> None:
+        """Note that the body of a request begins to be read."""
         with self._tables:
             self._reading[connection] = time.monotonic()
 
     def was_read(self, connection: socket.socket) -> None:
+        """Note that the body of a request has been read."""
         with self._tables:
             self._reading.pop(connection, None)
 
--- a/tidebend/access/client.py
+++ b/tidebend/access/client.py
@@ -13,6 +13,8 @@
 
 
 class KeyedClient(HttpClient):
+    """A client that shows a key with each request, and uses TLS if it has a context for it."""
+
     def __init__(
         self, address: tuple[str, int], shown: Callable[[], str], max_idle: int = 4, tls: ssl.SSLContext | None = None
     ) -> None:
--- a/tidebend/access/keys.py
+++ b/tidebend/access/keys.py
@@ -26,6 +26,8 @@
 
 
 class Key(msgspec.Struct, frozen=True):
+    """A key, and until when it is in force."""
+
     name: str
     secret: str
     made: float  # time of day
@@ -104,6 +106,7 @@
         return found.st_mtime_ns, found.st_ino
 
     def accepted(self) -> list[Key]:
+        """Return the keys that are in force, read anew after a moment."""
         now = time.monotonic()
         with self._lock:
             if now - self._looked < LOOK_S:
--- a/tidebend/access/tls.py
+++ b/tidebend/access/tls.py
@@ -10,6 +10,7 @@
 import os
 import ssl
 from pathlib import Path
+from typing import cast
 
 import msgspec
 from cryptography import x509
@@ -84,7 +85,10 @@
     if not (directory / AUTHORITY).exists():
         _make_authority(directory)
     authority = x509.load_pem_x509_certificate((directory / AUTHORITY).read_bytes())
-    signer = serialization.load_pem_private_key((directory / AUTHORITY_KEY).read_bytes(), None)
+    signer = cast(
+        "ec.EllipticCurvePrivateKey",
+        serialization.load_pem_private_key((directory / AUTHORITY_KEY).read_bytes(), None),
+    )
     key = ec.generate_private_key(ec.SECP256R1())
     builder = _builder(hosts[0], authority.subject, key, DAYS)
     builder = builder.add_extension(x509.SubjectAlternativeName([_host(host) for host in hosts]), critical=False)
--- a/tidebend/agent/control_connection.py
+++ b/tidebend/agent/control_connection.py
@@ -1,4 +1,4 @@
-"""The agent's calls to the control service, each in a thread of its own: reports, descriptions, gangs' musters."""
+"""The agent's calls to the control service, each in a thread of its own: reports, descriptions, gangs."""
 
 from __future__ import annotations
 
@@ -6,6 +6,7 @@
 import random
 import threading
 import time
+from functools import partial
 
 import msgspec
 
@@ -49,6 +50,8 @@
 
 
 class ControlConnection:
+    """The requests of one machine to its control service, by threads that run until `end`."""
+
     def __init__(self, ring: Keyring, terms: Joined, tls: Tls | None) -> None:
         self._ring = ring
         self._tls = tls.client() if tls else None
@@ -65,10 +68,12 @@
         return KeyedClient(parse_address(address), self._ring.shown, 2, self._tls)
 
     def start(self, worker: Worker) -> None:
-        for target in (self._report, self._describe, self._muster):
+        """Start the threads."""
+        for target in (self._report, self._describe, self._ask_about_gangs):
             threading.Thread(target=self._forever, args=(target, worker), name=target.__name__, daemon=True).start()
 
     def end(self) -> None:
+        """Have the threads end."""
         self._ended.set()
         for event in (self.changed, self.fetch_wanted, self.gang_status_wanted):
             event.set()
@@ -100,7 +105,7 @@
 
     def _report_to(self, worker: Worker, name: str) -> bool:
         """Whether to stay with this node."""
-        body, session, sent = worker.ask(worker.report)
+        body, session, sent = worker.call(worker.report)
         began = time.monotonic()
         try:
             status, answer = self._clients[name].request("POST", PATH_REPORT, body, ANSWER_S)
@@ -120,7 +125,7 @@
             return False
         self.heard = time.monotonic()
         parsed = parse_answer(answer)
-        if not worker.ask(lambda: worker.answered(parsed, session, sent)):
+        if not worker.call(lambda: worker.apply_answer(parsed, session, sent)):
             log.info("an answer was dropped: its token or session is an old one")
         return True
 
@@ -129,7 +134,7 @@
     def _describe(self, worker: Worker) -> None:
         self.fetch_wanted.wait(self._terms.lease_s)
         self.fetch_wanted.clear()
-        for job in worker.ask(worker.wanted):
+        for job in worker.call(worker.jobs_without_description):
             path = f"{paths.DESCRIPTIONS}/{job}?machine={self._terms.machine}"
             try:
                 status, body = self._clients[self._names[0]].request("GET", path, None, ANSWER_S)
@@ -138,20 +143,20 @@
                 status, body = 503, None
             if status == 200:
                 description = msgspec.convert(body, Description)
-                worker.ask(lambda job=job, description=description: worker.described(job, description))
+                worker.call(partial(worker.apply_description, job, description))
             elif status == 404:
-                worker.ask(lambda job=job: worker.described(job, None))
+                worker.call(partial(worker.apply_description, job, None))
             else:
                 self._ended.wait(LEAST_PAUSE_S)
                 self.fetch_wanted.set()
 
     # Gangs
 
-    def _muster(self, worker: Worker) -> None:
+    def _ask_about_gangs(self, worker: Worker) -> None:
         self.gang_status_wanted.wait(self._terms.gang_peer_s * GANG_STATUS_SHARE)
         self.gang_status_wanted.clear()
-        for task, phase in worker.ask(worker.gathering):
-            asked = GangMemberStatus(task.job, task.attempt, task.index, task.description.tasks, phase)
+        for task, phase in worker.call(worker.gang_members):
+            asked = GangMemberStatus(task.job, task.attempt, task.index, task.known_description.tasks, phase)
             try:
                 status, body = self._clients[self._names[0]].request(
                     "POST", paths.MUSTER, msgspec.to_builtins(asked), ANSWER_S
@@ -162,6 +167,6 @@
             if status == 200:
                 answer = msgspec.convert(body, GangVerdict)
                 if answer.verdict != "wait":
-                    worker.ask(lambda task=task, answer=answer: worker.mustered(task, answer))
+                    worker.call(partial(worker.apply_gang_verdict, task, answer))
         if not self.gang_status_wanted.is_set():
             self._ended.wait(min(0.1, self._terms.gang_peer_s * GANG_STATUS_SHARE))
--- a/tidebend/agent/endpoints.py
+++ b/tidebend/agent/endpoints.py
@@ -18,13 +18,15 @@
 
 
 def route(worker: Worker) -> Callable[[str, str, Callable[[], bytes]], Reply]:
+    """Return the server's route function for a worker."""
+
     def answer(method: str, path: str, body: Callable[[], bytes]) -> Reply:
         path, _, query = path.partition("?")
         try:
             if path == PATH_DIRECT and method == "POST":
                 return _direct(worker, body())
             if path == PATH_SHOW and method == "GET":
-                return Reply(200, worker.ask(worker.report)[0])
+                return Reply(200, worker.call(worker.report)[0])
             if path.startswith(paths.AGENT_OUTPUT + "/") and method == "GET":
                 return _output(worker, path[len(paths.AGENT_OUTPUT) + 1 :], query)
             if path == paths.AGENT_LEAVE and method == "POST":
@@ -44,11 +46,11 @@
 
     def work() -> Reply:
         try:
-            return Reply(200, worker.direct(asked))
+            return Reply(200, worker.execute_direct(asked))
         except StaleCommandError:
             return Reply(409, worker.report()[0])
 
-    return worker.ask(work)
+    return worker.call(work)
 
 
 def _output(worker: Worker, task: str, query: str) -> Reply:
@@ -70,5 +72,5 @@
         return Reply(400, {"error": str(error)})
     if machine != worker.terms.machine:
         return Reply(409, {"error": f"this is {worker.terms.machine}"})
-    worker.ask(worker.leave, timeout=30.0)
+    worker.call(worker.leave, timeout=30.0)
     return Reply(200, {})
--- a/tidebend/agent/event_log.py
+++ b/tidebend/agent/event_log.py
@@ -14,7 +14,7 @@
 
 
 class EventLog:
-    """For one thread. Not synced: what counts after a crash is in the diary."""
+    """For one thread. Not synced: what counts after a crash is in the write-ahead log."""
 
     def __init__(self, directory: Path) -> None:
         self._path = directory / FILE
--- a/tidebend/agent/images.py
+++ b/tidebend/agent/images.py
@@ -18,9 +18,11 @@
         self._root = root
 
     def place(self, image: str) -> Path:
+        """Return an image's directory."""
         return self._root / image
 
     def ready(self, image: str) -> bool:
+        """Whether an image has been made ready."""
         return (self._root / f"{image}{READY}").exists()
 
     def used(self, image: str, busy: set[str]) -> None:
@@ -41,4 +43,5 @@
         return place
 
     def done(self, image: str) -> None:
+        """Record that an image is ready."""
         (self._root / f"{image}{READY}").touch()
--- a/tidebend/agent/main.py
+++ b/tidebend/agent/main.py
@@ -53,7 +53,10 @@
 
 
 def _locked(directory: Path) -> DirectoryLock:
-    """Two agents with one diary would end each other's tasks. The provider looks at the lock for a moment at times."""
+    """Lock the directory: two agents with one write-ahead log would end each other's tasks.
+
+    The provider holds the lock for a moment at times.
+    """
     for _ in range(20):
         try:
             return DirectoryLock(directory)
@@ -97,7 +100,7 @@
         settings.place(),
         write_ahead_log,
         terms,
-        f"{gate.server_address[0]}:{gate.port}",
+        f"{gate.host}:{gate.port}",
         settings.kind,
         lambda _: link.fetch_wanted.set(),
         link.gang_status_wanted.set,
@@ -114,7 +117,7 @@
             log.warning("nothing heard of the control service for %.0f s: ending", alone_s)
             ended.set()
     if thread.is_alive():
-        worker.ask(worker.stop, timeout=30.0)
+        worker.call(worker.stop, timeout=30.0)
         thread.join(5.0)
     link.end()
     time.sleep(0.1)  # whoever told us to leave gets his answer
--- a/tidebend/agent/output.py
+++ b/tidebend/agent/output.py
@@ -30,6 +30,7 @@
         self._size = 0
 
     def add(self, data: bytes) -> None:
+        """Keep what a task has written."""
         while data:
             if self._size >= self._half:
                 self.close()
@@ -46,12 +47,14 @@
                 self.lost += len(part)
 
     def close(self) -> None:
+        """Close the file."""
         if self._file >= 0:
             os.close(self._file)
             self._file = -1
 
 
 def directory_of(root: Path, job: str, index: int, attempt: int) -> Path:
+    """Return the directory of one start's output."""
     return root / job / f"{index}.{attempt}"
 
 
--- a/tidebend/agent/processes.py
+++ b/tidebend/agent/processes.py
@@ -29,11 +29,14 @@
 
 
 def boot_id() -> str:
+    """Return an id that changes each time the machine boots."""
     return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
 
 
 @dataclass(frozen=True, slots=True)
 class ProcessInfo:
+    """What the system tells of a process."""
+
     pid: int
     parent: int
     started: int  # ticks since the machine booted; a clock that is set changes nothing here
@@ -51,6 +54,7 @@
 
 
 def all_processes() -> list[ProcessInfo]:
+    """Return all processes of the machine that can be seen."""
     found = (look(int(name)) for name in os.listdir("/proc") if name.isdigit())
     return [seen for seen in found if seen is not None]
 
@@ -107,6 +111,7 @@
             resource.prlimit(self.process.pid, which, (value, value))
 
     def go(self) -> None:
+        """Let the process become the task."""
         with contextlib.suppress(OSError):
             os.write(self._word, b"go\n")
         self.drop()
@@ -119,6 +124,7 @@
 
 
 def signal_group(pid: int, number: int) -> None:
+    """Send a signal to a process group, if it is there."""
     with contextlib.suppress(ProcessLookupError, PermissionError):
         os.killpg(pid, number)
 
@@ -184,7 +190,7 @@
     """End all that an agent before us, or one that is gone, has begun; True once none of it is there any more."""
     rows = write_ahead_log.begun()
     for row in rows:
-        if is_there(row):
+        if row.pid is not None and is_there(row):
             signal_group(row.pid, signal.SIGKILL)
     left = end_marked({row.mark for row in rows}, timeout) if rows else set()
     left |= {row.mark for row in rows if is_there(row)}
--- a/tidebend/agent/settings.py
+++ b/tidebend/agent/settings.py
@@ -13,6 +13,8 @@
 
 
 class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An agent's settings, as its file has them."""
+
     control: str  # HOST:PORT of the control service
     key_file: str
     data: str  # the agent's own directory
@@ -24,6 +26,7 @@
     tls: Tls | None = None
 
     def place(self) -> Path:
+        """Return the agent's own directory."""
         return Path(self.data)
 
 
--- a/tidebend/agent/tasks.py
+++ b/tidebend/agent/tasks.py
@@ -4,63 +4,69 @@
 
 import os
 from dataclasses import dataclass
-from typing import Any
+from pathlib import Path
 
-from tidebend.agent.output import Output
-from tidebend.agent.processes import TaskLauncher
+from tidebend.agent.task_process import TaskProcess
 from tidebend.messages import Description
-from tidebend.protocol.worker import Task as Row
+from tidebend.protocol.worker import Task as TaskRow
 
 # of the agent's own environment, tasks get only this: what else is in it may be secret, or meant for the agent alone
 INHERITED = ("PATH", "HOME", "USER", "LOGNAME", "SHELL", "LANG", "TZ", "TMPDIR")
 
+# the states of a task, as they are reported
+FETCHING, WAITING, RUNNING, SAVING, ENDED = "fetching", "waiting", "running", "saving", "ended"
 
-def inherited() -> dict[str, str]:
+
+def inherited_environment() -> dict[str, str]:
+    """Return what tasks get of the agent's own environment."""
     return {key: value for key, value in os.environ.items() if key in INHERITED or key.startswith("LC_")}
 
 
-@dataclass
+@dataclass(eq=False)
 class Task:
+    """One start of a task."""
+
     job: str
     index: int
     attempt: int
-    state: str = "fetching"  # fetching, waiting, running, saving, ended
-    why: str | None = None
+    state: str = FETCHING
+    why: str | None = None  # of the end, as it is reported
     saved: bool = False
-    description: Description | None = None
+    description: Description | None = None  # None until the control service has sent it
     waiting_since: float = 0.0  # steady time
-    # a stop that is under way: from when on it is killed outright, and whether it may save meanwhile
-    kill_at: float | None = None
-    prepares: bool = False  # makes its job's image ready, for the tasks that wait for it
-    # one of a gang that has finished well waits for its mates; until then it counts as running
-    finished: bool = False
-    mark: str = ""
-    stub: TaskLauncher | None = None
-    output: Output | None = None
-    pipe: int = -1  # what the task writes comes out here
-    pidfd: int = -1
+    kill_at: float | None = None  # for a stop that is under way: the steady time from which on it is killed
+    prepares_image: bool = False  # makes its job's image ready, for the tasks that wait for it
+    finished: bool = False  # a gang's task that has succeeded and waits for the others; it counts as running until then
+    process: TaskProcess | None = None  # while its processes are there
+    output_directory: Path | None = None  # of its output, once it has begun
 
     @property
     def name(self) -> str:
+        """The job and the index of the task."""
         return f"{self.job}/{self.index}"
 
     @property
-    def gang(self) -> bool:
+    def is_gang_task(self) -> bool:
+        """Whether it is known to start and end together with others."""
         return self.description is not None and self.description.kind == "gang"
 
     @property
-    def process(self) -> bool:
-        return self.pidfd >= 0
+    def known_description(self) -> Description:
+        """The description of a task that has one."""
+        assert self.description is not None, "the description hasn't come yet"
+        return self.description
 
     def end(self, why: str, saved: bool = False) -> None:
-        self.state, self.why, self.saved, self.kill_at = "ended", why, saved, None
+        """Record how it has ended."""
+        self.state, self.why, self.saved, self.kill_at = ENDED, why, saved, None
 
-    def row(self) -> Row:
-        return Row(self.job, self.index, self.attempt, self.state, self.why, self.saved)
+    def row(self) -> TaskRow:
+        """Return what is reported of it."""
+        return TaskRow(self.job, self.index, self.attempt, self.state, self.why, self.saved)
 
-    def environment(self, base: dict[str, str], image: str = "") -> dict[str, Any]:
-        description = self.description
-        assert description is not None
+    def environment(self, base: dict[str, str], image: str = "") -> dict[str, str]:
+        """Return the environment of its processes; `image` is the directory of its image."""
+        description = self.known_description
         own = {
             "TIDEBEND_JOB": self.job,
             "TIDEBEND_TASK": str(self.index),
@@ -69,6 +75,13 @@
         }
         if description.image:
             own["TIDEBEND_IMAGE"] = image
-        if description.checkpoints:
-            own["TIDEBEND_CHECKPOINT"] = f"{description.checkpoints}/{self.job}/{self.index}"
+        checkpoint = self.checkpoint_directory
+        if checkpoint is not None:
+            own["TIDEBEND_CHECKPOINT"] = str(checkpoint)
         return {**base, **description.environment, **own}
+
+    @property
+    def checkpoint_directory(self) -> Path | None:
+        """Where it saves its checkpoints, None if its job has none."""
+        checkpoints = self.known_description.checkpoints
+        return Path(f"{checkpoints}/{self.job}/{self.index}") if checkpoints else None
--- a/tidebend/agent/worker.py
+++ b/tidebend/agent/worker.py
@@ -13,58 +13,69 @@
 import os
 import queue
 import selectors
-import shutil
-import signal
 import sqlite3
-import subprocess
 import threading
 import time
-import uuid
 from collections.abc import Callable
 from concurrent.futures import Future
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple, TypeVar
 
-from tidebend.agent import output
+from tidebend.agent.clock import steady_time
 from tidebend.agent.event_log import EventLog
+from tidebend.agent.image_preparation import ImagePreparer
 from tidebend.agent.images import Images
-from tidebend.agent.processes import (
-    MARK,
-    TaskLauncher,
-    adopt_orphans,
-    boot_id,
-    end_children,
-    end_leftovers,
-    end_marked,
-    process_mark,
-    reap_strangers,
-    signal_group,
-)
-from tidebend.agent.tasks import Task, inherited
-from tidebend.agent.write_ahead_log import StartedProcess, WriteAheadLog
+from tidebend.agent.processes import adopt_orphans, end_leftovers
+from tidebend.agent.task_process import TaskProcess
+from tidebend.agent.task_runner import EXIT, OUTPUT, TaskRunner
+from tidebend.agent.tasks import ENDED, FETCHING, SAVING, WAITING, Task
+from tidebend.agent.write_ahead_log import WriteAheadLog
 from tidebend.faults import point
-from tidebend.messages import Description, GangVerdict, Joined
+from tidebend.messages import Description, GangPhase, GangVerdict, Joined
 from tidebend.protocol import Command
 from tidebend.protocol.worker import Answer, Direct, report
 
 log = logging.getLogger("agent")
 
-READ_BYTES = 65536
+READ_BYTES = 64 * 1024
 # a task that is told to stop has this share of a lease before it is killed, unless it saves
 STOP_SHARE = 0.2
-MOST_WAITING = 1024
+# a task that was to be killed is killed again after so many seconds, should it have been missed
+KILL_AGAIN_S = 1.0
+# the thread wakes this many seconds after what it waits for is due
+WAKE_MARGIN_S = 0.002
+# a new token is reported at once if none was within this share of a lease
+TOKEN_REPORT_SHARE = 0.5
+# the pause between two attempts to begin a session
+SESSION_RETRY_S = 0.5
+CALL_TIMEOUT_S = 5.0
+MAX_QUEUED_CALLS = 1024
+
+Result = TypeVar("Result")
 
 
 class StaleCommandError(Exception):
     """Direct commands with a lower token, or for another session; nothing was executed."""
 
 
-def steady() -> float:
-    """Seconds that also pass while the machine sleeps, so that no lease outlives a sleep."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+class SentReport(NamedTuple):
+    """A report as it is sent, with what its answer is judged by."""
+
+    body: dict[str, Any]
+    session: int
+    sent_at: float  # steady time
+
+
+class GangMember(NamedTuple):
+    """A gang's task on this machine and its phase: waiting, running, finished or lost."""
+
+    task: Task
+    phase: GangPhase
 
 
 class Worker:
+    """A machine's worker. Everything but `call` and `start` is for its own thread."""
+
     def __init__(
         self,
         directory: Path,
@@ -72,56 +83,61 @@
         terms: Joined,
         address: str,
         kind: str,
-        fetch: Callable[[str], None],
-        muster: Callable[[], None],
-        changed: Callable[[], None],
+        fetch_description: Callable[[str], None],
+        ask_about_gangs: Callable[[], None],
+        on_change: Callable[[], None],
     ) -> None:
-        """`fetch` asks for a job's description, `muster` has gangs' tasks meet, `changed` has it reported."""
+        """Keep everything in `directory`.
+
+        `fetch_description` asks the control service for a job's description, `ask_about_gangs` whether gangs may start
+        or are complete; `on_change` has a report sent soon.
+        """
         self.directory = directory
         self.outputs = directory / "tasks"
         self.terms = terms
         self.address = address
         self.kind = kind
-        self._diary = write_ahead_log
-        self._fetch = fetch
-        self._muster = muster
-        self._changed = changed
+        self._write_ahead_log = write_ahead_log
+        self._fetch_description = fetch_description
+        self._ask_about_gangs = ask_about_gangs
+        self._on_change = on_change
         self.session = int(write_ahead_log.fact("session", "0"))
         self.token = int(write_ahead_log.fact("token", "0"))
         self._sequence = 0
         self._lease_end = 0.0
-        self._token_told = 0.0
+        self._token_reported_at = 0.0
         self._tasks: dict[tuple[str, int, int], Task] = {}  # by job, index and attempt
         self._descriptions: dict[str, Description] = {}
-        self._inbox: queue.Queue[tuple[Callable[[], Any], Future]] = queue.Queue(MOST_WAITING)
+        self._calls: queue.Queue[tuple[Callable[[], Any], Future]] = queue.Queue(MAX_QUEUED_CALLS)
         self._selector = selectors.DefaultSelector()
-        self._woken, self._wake = os.pipe()
-        os.set_blocking(self._woken, False)
-        os.set_blocking(self._wake, False)
-        self._selector.register(self._woken, selectors.EVENT_READ, None)
-        self._ending = False
-        self._boot = boot_id()
-        self._history = EventLog(directory)
-        self._images = Images(directory / "images")
-        self._preparing: dict[str, Task] = {}  # image -> the process that makes it ready
+        self._wake_read, self._wake_write = os.pipe()
+        os.set_blocking(self._wake_read, False)
+        os.set_blocking(self._wake_write, False)
+        self._selector.register(self._wake_read, selectors.EVENT_READ, None)
+        self._is_ending = False
+        self._event_log = EventLog(directory)
+        images = Images(directory / "images")
+        self._task_runner = TaskRunner(self.outputs, write_ahead_log, self._event_log, images, self._selector)
+        self._image_preparer = ImagePreparer(images, self._task_runner.launch)
 
     # From other threads
 
-    def ask(self, work: Callable[[], Any], timeout: float = 5.0) -> Any:
+    def call(self, work: Callable[[], Result], timeout: float = CALL_TIMEOUT_S) -> Result:
         """Have something done by the worker's thread; raises what it raises, or TimeoutError.
 
-        After a TimeoutError it may still be done, in its turn: whoever asks next is answered after that.
+        After a TimeoutError it may still be done, in its turn: whoever calls next is answered after that.
         """
-        answer: Future = Future()
+        answer: Future[Result] = Future()
         try:
-            self._inbox.put_nowait((work, answer))
+            self._calls.put_nowait((work, answer))
         except queue.Full:
             raise TimeoutError("too much is waiting") from None
         with contextlib.suppress(BlockingIOError):
-            os.write(self._wake, b"x")
+            os.write(self._wake_write, b"x")
         return answer.result(timeout)
 
     def start(self) -> threading.Thread:
+        """Start the thread, which begins a session."""
         thread = threading.Thread(target=self.run, name="worker", daemon=True)
         thread.start()
         return thread
@@ -129,66 +145,78 @@
     # The thread
 
     def run(self) -> None:
+        """Be the worker until it is told to end."""
         adopt_orphans()
         self._begin_session()
-        while not self._ending:
-            for key, _ in self._selector.select(self._pause()):
-                if key.data is None:
-                    with contextlib.suppress(BlockingIOError):
-                        os.read(self._woken, READ_BYTES)
-                else:
-                    what, task = key.data
-                    # guards against an event of a descriptor that was closed, and given to another, a moment ago
-                    if what == "exit" and task.pidfd == key.fd:
-                        self._exited(task)
-                    elif what == "output" and task.pipe == key.fd:
-                        self._take_output(task)
-            self._look_at_lease()
-            self._kill_late()
-            while True:
-                try:
-                    work, answer = self._inbox.get_nowait()
-                except queue.Empty:
-                    break
-                # guards against commands that waited in a socket while this process stood still
-                self._look_at_lease()
-                try:
-                    answer.set_result(work())
-                except Exception as error:
-                    answer.set_exception(error)
-
-    def _pause(self) -> float:
-        now = steady()
-        ends = [task.kill_at for task in self._tasks.values() if task.kill_at is not None]
-        ends += [
-            task.waiting_since + self.terms.gang_wait_s for task in self._tasks.values() if task.state == "waiting"
-        ]
-        return max(0.0, min([self._lease_end, *ends]) - now) + 0.002
+        while not self._is_ending:
+            for key, _ in self._selector.select(self._pause_s()):
+                self._on_readable(key)
+            self._check_lease()
+            self._kill_overdue()
+            self._do_calls()
+
+    def _on_readable(self, key: selectors.SelectorKey) -> None:
+        if key.data is None:
+            with contextlib.suppress(BlockingIOError):
+                os.read(self._wake_read, READ_BYTES)
+            return
+        event, task = key.data
+        process = task.process
+        # guards against an event of a descriptor that was closed, and given to another, a moment ago
+        if process is None:
+            return
+        if event == EXIT and process.descriptor == key.fd:
+            self._on_exit(task, process)
+        elif event == OUTPUT and process.output_pipe == key.fd:
+            self._task_runner.copy_output(task)
+
+    def _do_calls(self) -> None:
+        while True:
+            try:
+                work, answer = self._calls.get_nowait()
+            except queue.Empty:
+                return
+            # guards against commands that waited in a socket while this process stood still
+            self._check_lease()
+            try:
+                answer.set_result(work())
+            except Exception as error:
+                answer.set_exception(error)
+
+    def _pause_s(self) -> float:
+        """Return for how long nothing is due."""
+        due = [self._lease_end]
+        due += [task.kill_at for task in self._tasks.values() if task.kill_at is not None]
+        due += [task.waiting_since + self.terms.gang_wait_s for task in self._tasks.values() if task.state == WAITING]
+        return max(0.0, min(due) - steady_time()) + WAKE_MARGIN_S
 
     # Sessions and leases
 
     def _begin_session(self) -> None:
-        """Only when nothing of an earlier one is left: neither of ours, nor of an agent that was here before us."""
-        while not end_leftovers(self._diary):
+        """Begin a session once nothing of an earlier one is left: neither of ours, nor of an agent before us."""
+        while not end_leftovers(self._write_ahead_log):
             log.error("processes of an earlier session can't be ended; trying again")
-            time.sleep(0.5)
-        while True:
-            try:
-                self._diary.note(session=str(self.session + 1))
-                break
-            except sqlite3.Error as error:
-                # a session that isn't on the disk could come twice; until then nothing is reported
-                log.error("no later session can be begun: %s", error)
-                time.sleep(0.5)
+            time.sleep(SESSION_RETRY_S)
+        while not self._record_next_session():
+            time.sleep(SESSION_RETRY_S)
         self.session += 1
         point("agent.session-noted")
         self._sequence = 0
-        self._lease_end = steady() + self.terms.lease_s
-        self._history.add("session", steady(), session=self.session, machine=self.terms.machine)
-        self._changed()
+        self._lease_end = steady_time() + self.terms.lease_s
+        self._event_log.add("session", steady_time(), session=self.session, machine=self.terms.machine)
+        self._on_change()
 
-    def _look_at_lease(self) -> None:
-        if steady() <= self._lease_end:
+    def _record_next_session(self) -> bool:
+        """Write the next session's number; a session that isn't on the disk could come twice."""
+        try:
+            self._write_ahead_log.note(session=str(self.session + 1))
+        except sqlite3.Error as error:
+            log.error("no later session can be begun: %s", error)
+            return False
+        return True
+
+    def _check_lease(self) -> None:
+        if steady_time() <= self._lease_end:
             return
         if self._tasks:
             log.warning("the lease has ended: ending %d tasks", len(self._tasks))
@@ -196,23 +224,18 @@
         self._begin_session()
 
     def _end_everything(self) -> None:
-        running = [task for task in [*self._tasks.values(), *self._preparing.values()] if task.process]
-        self._preparing.clear()
-        for task in running:
-            signal_group(task.stub.process.pid, signal.SIGKILL)
-        for task in running:
-            task.stub.process.wait()
-            self._let_go(task)
+        self._task_runner.end_all()
+        self._image_preparer.forget_all()
         self._tasks.clear()
         self._descriptions.clear()
 
     # Reports
 
-    def report(self) -> tuple[dict[str, Any], int, float]:
-        """The body, its session, and the steady time at which it is sent."""
-        return self._body(), self.session, steady()
+    def report(self) -> SentReport:
+        """Return a report to be sent now."""
+        return SentReport(self._report_body(), self.session, steady_time())
 
-    def _body(self) -> dict[str, Any]:
+    def _report_body(self) -> dict[str, Any]:
         self._sequence += 1
         return report(
             self.terms.machine,
@@ -227,77 +250,91 @@
             [task.row() for task in self._tasks.values()],
         )
 
-    def answered(self, answer: Answer, session: int, sent: float) -> bool:
+    def apply_answer(self, answer: Answer, session: int, sent_at: float) -> bool:
         """Take over the answer to a report; False if it had to be dropped."""
         if session != self.session or answer.token is None or answer.token < self.token:
             return False
-        self._learn(answer.token)
-        self._lease_end = max(self._lease_end, sent + self.terms.lease_s)
+        self._learn_token(answer.token)
+        self._lease_end = max(self._lease_end, sent_at + self.terms.lease_s)
         self._execute(answer.commands)
         return True
 
-    def direct(self, asked: Direct) -> dict[str, Any]:
-        """Execute direct commands; the body of the answer. They don't renew the lease. Raises Late."""
-        if asked.token < self.token or asked.session != self.session:
+    def execute_direct(self, direct: Direct) -> dict[str, Any]:
+        """Execute direct commands, which don't renew the lease; the body of the answer. Raises StaleCommandError."""
+        if direct.token < self.token or direct.session != self.session:
             raise StaleCommandError
-        self._learn(asked.token)
-        self._execute(asked.commands)
-        return self._body()
-
-    def _learn(self, token: int) -> None:
-        if token > self.token:
-            self._diary.note(token=str(token))  # first on the disk: whoever gave a lower one is deposed for good
-            self.token = token
-            now = steady()
-            if now - self._token_told > 0.5 * self.terms.lease_s:
-                self._token_told = now
-                self._changed()
+        self._learn_token(direct.token)
+        self._execute(direct.commands)
+        return self._report_body()
+
+    def _learn_token(self, token: int) -> None:
+        if token <= self.token:
+            return
+        self._write_ahead_log.note(token=str(token))  # first on the disk: whoever gave a lower one is deposed for good
+        self.token = token
+        now = steady_time()
+        if now - self._token_reported_at > TOKEN_REPORT_SHARE * self.terms.lease_s:
+            self._token_reported_at = now
+            self._on_change()
 
     # Commands
 
     def _execute(self, commands: list[Command]) -> None:
-        starts: list[Task] = []
+        to_start: list[Task] = []
         for command in commands:
-            key = (command.job, command.index, command.attempt)
-            task = self._tasks.get(key)
             if command.op == "start":
-                if task is None:
-                    in_use = any(
-                        (other.job, other.index) == key[:2] and other.state != "ended" for other in self._tasks.values()
-                    )
-                    task = self._tasks[key] = Task(*key)
-                    if in_use:
-                        task.end("in_use")
-                    else:
-                        starts.append(task)
-                continue
-            if starts:  # in order: what comes before is under way before what follows it
-                self._begin(starts)
-                starts = []
-            if task is None:
+                task = self._new_task(command)
+                if task is not None:
+                    to_start.append(task)
                 continue
-            if command.op == "stop":
-                self._stop(task, command.grace_s)
-            elif task.state == "ended":
-                del self._tasks[key]
-                self._forget_description(task.job)
-        if starts:
-            self._begin(starts)
+            if to_start:  # in order: what comes before is under way before what follows it
+                self._begin(to_start)
+                to_start = []
+            self._stop_or_clear(command)
+        if to_start:
+            self._begin(to_start)
         if commands:
-            self._give_up_images()
-            self._changed()
+            self._image_preparer.cancel_unwanted(self._tasks.values())
+            self._on_change()
+
+    def _new_task(self, command: Command) -> Task | None:
+        """Return the task that a start is to begin; None if the start is refused, or a repetition."""
+        key = (command.job, command.index, command.attempt)
+        if key in self._tasks:
+            return None
+        in_use = any(
+            (other.job, other.index) == (command.job, command.index) and other.state != ENDED
+            for other in self._tasks.values()
+        )
+        task = self._tasks[key] = Task(*key)
+        if in_use:
+            task.end("in_use")
+            return None
+        return task
+
+    def _stop_or_clear(self, command: Command) -> None:
+        key = (command.job, command.index, command.attempt)
+        task = self._tasks.get(key)
+        if task is None:
+            return
+        if command.op == "stop":
+            self._stop(task, command.grace_s)
+        elif task.state == ENDED:
+            del self._tasks[key]
+            self._forget_description(task.job)
 
     def _forget_description(self, job: str) -> None:
+        """Forget a job's description once none of its tasks is left."""
         if not any(other == job for other, _, _ in self._tasks):
             self._descriptions.pop(job, None)
-            output.prune(self.outputs, {task.output.directory for task in self._tasks.values() if task.output})
+            self._task_runner.prune_outputs(self._tasks.values())
 
-    def described(self, job: str, description: Description | None) -> None:
-        """The answer to `fetch`; None: the control service knows no such job."""
+    def apply_description(self, job: str, description: Description | None) -> None:
+        """Take over a job's description; None: the control service knows no such job."""
         tasks = [
             task
             for task in self._tasks.values()
-            if task.job == job and task.description is None and task.state == "fetching"
+            if task.job == job and task.description is None and task.state == FETCHING
         ]
         if description is None:
             for task in tasks:
@@ -305,326 +342,190 @@
         elif tasks:
             self._descriptions[job] = description
             self._begin(tasks)
-        self._changed()
+        self._on_change()
 
-    def wanted(self) -> list[str]:
-        """Jobs whose descriptions are missing."""
+    def jobs_without_description(self) -> list[str]:
+        """Return the jobs whose descriptions are missing."""
         return sorted(
-            {task.job for task in self._tasks.values() if task.state == "fetching" and task.description is None}
+            {task.job for task in self._tasks.values() if task.state == FETCHING and task.description is None}
         )
 
     # Starts
 
     def _begin(self, tasks: list[Task]) -> None:
-        ready = []
+        """Start tasks as far as their descriptions, their images and this machine's room allow."""
+        to_launch = []
         for task in tasks:
             task.description = self._descriptions.get(task.job)
             if task.description is None:
-                self._fetch(task.job)
+                self._fetch_description(task.job)
             elif not self._has_room(task):
                 task.end("full")
-            elif self._has_image(task):
-                if task.gang:
-                    task.state, task.waiting_since = "waiting", steady()
-                    self._muster()
-                else:
-                    ready.append(task)
-        self._launch(ready)
-
-    def _has_image(self, task: Task) -> bool:
-        """If not, it is being made ready, and the task waits as fetching."""
-        description = task.description
-        assert description is not None
-        if not description.prepare or not description.image:
-            return True
-        if self._images.ready(description.image):
-            self._images.used(description.image, self._busy_images())
-            return True
-        if description.image not in self._preparing:
-            first = Task(task.job, task.index, task.attempt, description=description, prepares=True)
-            self._preparing[description.image] = first
-            self._launch([first])
-            if first.state == "ended":
-                self._prepared(first)
-        return False
-
-    def _busy_images(self) -> set[str]:
-        return {task.description.image for task in self._tasks.values() if task.description is not None}
+            elif not self._image_preparer.has_image(task, self._used_images()):
+                self._prepare_image(task)
+            elif task.is_gang_task:
+                task.state, task.waiting_since = WAITING, steady_time()
+                self._ask_about_gangs()
+            else:
+                to_launch.append(task)
+        self._launch(to_launch)
 
-    def _prepared(self, first: Task) -> None:
-        """Its process has ended: those who wait for the image go on, or have failed with it."""
-        image = first.description.image
-        del self._preparing[image]
+    def _launch(self, tasks: list[Task]) -> None:
+        if tasks:
+            self._task_runner.launch(tasks)
+            self._on_change()
+
+    def _prepare_image(self, task: Task) -> None:
+        failed = self._image_preparer.begin(task)
+        if failed is not None:
+            self._on_image_prepared(failed)
+
+    def _on_image_prepared(self, preparing: Task) -> None:
+        """Start the tasks that wait for an image, or end them if it couldn't be made ready."""
+        image = preparing.known_description.image
+        is_ready = self._image_preparer.finish(preparing)
         waiting = [
             task
             for task in self._tasks.values()
-            if task.state == "fetching" and task.description is not None and task.description.image == image
+            if task.state == FETCHING and task.description is not None and task.description.image == image
         ]
-        if first.why == "done":
-            self._images.done(image)
+        if is_ready:
             self._begin(waiting)
         else:
             for task in waiting:
                 task.end("error")
-        self._changed()
+        self._on_change()
 
-    def _give_up_images(self) -> None:
-        """A preparation that no task waits for any more is ended."""
-        wanted = {
-            task.description.image
-            for task in self._tasks.values()
-            if task.state == "fetching" and task.description is not None
-        }
-        for image, first in self._preparing.items():
-            if image not in wanted and first.process and first.kill_at is None:
-                first.kill_at = steady()
-                signal_group(first.stub.process.pid, signal.SIGKILL)
+    def _used_images(self) -> set[str]:
+        return {task.description.image for task in self._tasks.values() if task.description is not None}
 
     def _has_room(self, task: Task) -> bool:
         others = [
             other.description
             for other in self._tasks.values()
-            if other is not task and other.state != "ended" and other.description is not None
+            if other is not task and other.state != ENDED and other.description is not None
         ]
-        mine = task.description
         return all(
-            sum(getattr(other, part) for other in others) + getattr(mine, part) <= getattr(self.terms, part) + 1e-6
+            sum(getattr(other, part) for other in others) + getattr(task.known_description, part)
+            <= getattr(self.terms, part) + 1e-6
             for part in ("cpus", "gpus", "memory_gb")
         )
 
-    def _launch(self, tasks: list[Task]) -> None:
-        """Written down, begun, known by its process, and only then let go: wherever this ends, nothing is unknown."""
-        if not tasks:
-            return
-        for task in tasks:
-            task.mark = uuid.uuid4().hex
-        try:
-            self._diary.begin([StartedProcess(task.mark, task.name) for task in tasks])
-            point("agent.written-down")
-            begun = []
-            for task in tasks:
-                try:
-                    begun.append(self._stub(task))
-                except (OSError, ValueError) as error:
-                    self._failed_to_start(task, error)
-            point("agent.begun")
-            self._diary.identify(begun)
-            point("agent.identified")
-        except sqlite3.Error as error:
-            # guards against a process that runs without being written down, on a full disk: nobody gets the word
-            for task in tasks:
-                self._failed_to_start(task, error)
-        for task in tasks:
-            if task.state != "ended":
-                task.state = "running"
-                if not task.prepares:
-                    self._history.add("begun", steady(), task=task.name, attempt=task.attempt)
-                task.stub.go()
-        self._diary.ended([task.mark for task in tasks if task.state == "ended"])
-        self._changed()
-
-    def _stub(self, task: Task) -> StartedProcess:
-        description = task.description
-        assert description is not None
-        place = output.directory_of(self.outputs, task.job, task.index, task.attempt)
-        if task.prepares:
-            place = place.with_name(f"{place.name}.prepare")
-        task.output = output.Output(place, description.output_kb * 1024)
-        image = str(self._images.place(description.image)) if description.image else ""
-        directory = Path(description.directory) if description.directory else place / "work"
-        if task.prepares:
-            directory = self._images.begin(description.image)
-        elif not description.directory:
-            directory.mkdir(exist_ok=True)
-        if description.checkpoints:
-            Path(task.environment({})["TIDEBEND_CHECKPOINT"]).mkdir(parents=True, exist_ok=True)
-        ours, theirs = os.pipe()
-        os.set_blocking(ours, False)
-        try:
-            task.stub = TaskLauncher(
-                description.prepare if task.prepares else description.command,
-                {**task.environment(inherited(), image), MARK: task.mark},
-                directory,
-                theirs,
-            )
-            task.stub.bound(description.bounds)
-        except BaseException:
-            os.close(ours)
-            raise
-        finally:
-            os.close(theirs)
-        task.pipe = ours
-        self._selector.register(ours, selectors.EVENT_READ, ("output", task))
-        task.pidfd = os.pidfd_open(task.stub.process.pid)
-        self._selector.register(task.pidfd, selectors.EVENT_READ, ("exit", task))
-        return StartedProcess(task.mark, task.name, task.stub.process.pid, task.stub.started, self._boot)
-
-    def _failed_to_start(self, task: Task, error: Exception) -> None:
-        if task.state == "ended":
-            return
-        log.warning("%s: can't be started: %s", task.name, error)
-        if task.stub is not None:  # it has had no word, and exits without one
-            task.stub.drop()
-            task.stub.process.wait()
-        if task.pidfd >= 0:
-            self._selector.unregister(task.pidfd)
-            os.close(task.pidfd)
-            task.pidfd = -1
-        if task.output is not None:
-            task.output.add(f"tidebend: can't be started: {error}\n".encode())
-            self._close_output(task)
-        task.end("error")
-
     # Ends
 
     def _stop(self, task: Task, grace_s: float) -> None:
-        if task.state == "ended":
+        process = task.process
+        if task.state == ENDED:
             return
-        if not task.process:
+        if process is None:
             task.end("stopped")
             return
         if task.kill_at is not None:
-            if task.state == "saving" and grace_s <= 0:
-                signal_group(task.stub.process.pid, signal.SIGKILL)
+            if task.state == SAVING and grace_s <= 0:
+                process.kill()
             return
-        if task.stub.process.poll() is not None:
+        if process.exit_status is not None:
             return  # it has ended by itself, and that is what is reported
-        description = task.description
+        description = task.known_description
         saves = description.checkpoint_s > 0 and bool(description.checkpoints) and grace_s >= description.save_s
         if saves and not task.finished:
-            task.state = "saving"
-        task.kill_at = steady() + (grace_s if saves else STOP_SHARE * self.terms.lease_s)
-        signal_group(task.stub.process.pid, signal.SIGTERM)
+            task.state = SAVING
+        task.kill_at = steady_time() + (grace_s if saves else STOP_SHARE * self.terms.lease_s)
+        process.terminate()
 
-    def _kill_late(self) -> None:
-        now = steady()
+    def _kill_overdue(self) -> None:
+        now = steady_time()
         for task in list(self._tasks.values()):
-            if task.kill_at is not None and now >= task.kill_at and task.process:
-                signal_group(task.stub.process.pid, signal.SIGKILL)
-                task.kill_at = now + 1.0  # again, should it have been missed
-            elif task.state == "waiting" and now >= task.waiting_since + self.terms.gang_wait_s:
+            if task.kill_at is not None and now >= task.kill_at and task.process is not None:
+                task.process.kill()
+                task.kill_at = now + KILL_AGAIN_S
+            elif task.state == WAITING and now >= task.waiting_since + self.terms.gang_wait_s:
                 task.end("incomplete")
-                self._changed()
+                self._on_change()
 
-    def _exited(self, task: Task) -> None:
-        """Its first process has ended. The task has ended when all that descends from it is gone as well."""
-        with contextlib.suppress(subprocess.TimeoutExpired):
-            task.stub.process.wait(0.1)
-        status = task.stub.process.returncode
+    def _on_exit(self, task: Task, process: TaskProcess) -> None:
+        """Handle the exit of a task's first process; the task has ended when all that descends from it is gone."""
+        status = process.wait_briefly()
         if status is None:
             return
-        signal_group(task.stub.process.pid, signal.SIGKILL)
-        self._let_go(task)
-        if task.prepares:
+        process.kill()
+        self._task_runner.clean_up(task, process)
+        if task.prepares_image:
             task.end("done" if status == 0 and task.kill_at is None else "error")
-            self._prepared(task)
+            self._on_image_prepared(task)
             return
+        self._record_end(task, status)
+        if task.is_gang_task:
+            self._ask_about_gangs()
+        self._on_change()
+
+    @staticmethod
+    def _record_end(task: Task, status: int) -> None:
+        """Record what the exit of a task's first process means for the task."""
         if task.why == "mates_gone":
             task.end("mates_gone")
-        elif task.state == "saving":
+        elif task.state == SAVING:
             task.end("stopped", saved=status == 0)
         elif task.kill_at is not None:
             # told to stop: whatever it says now, nobody knows whether it was through, and it is run again
             task.end("stopped")
         elif status != 0:
             task.end("error")
-        elif task.gang:
+        elif task.is_gang_task:
             task.finished = True
         else:
             task.end("done")
-        if task.gang:
-            self._muster()
-        self._changed()
-
-    def _let_go(self, task: Task) -> None:
-        """After its first process was waited for: end the rest, keep its output, strike it out of the diary."""
-        self._selector.unregister(task.pidfd)
-        os.close(task.pidfd)
-        task.pidfd = -1
-        pids = [other.stub.process.pid for other in [*self._tasks.values(), *self._preparing.values()] if other.process]
-        marks = {process_mark(seen.pid) for seen in reap_strangers(pids)}
-        # what hides its mark can be told from others' only once there are no others
-        if task.mark in marks or (None in marks and not pids):
-            while end_marked({task.mark}, 5.0) or (not pids and end_children()):
-                log.error("%s: what it left behind can't be ended; trying again", task.name)
-            reap_strangers(pids)
-        if task.pipe >= 0:
-            self._take_output(task)
-        self._close_output(task)
-        shutil.rmtree(task.output.directory / "work", ignore_errors=True)
-        self._diary.ended([task.mark])
-        if not task.prepares:
-            self._history.add(
-                "ended", steady(), task=task.name, attempt=task.attempt, status=task.stub.process.returncode
-            )
-
-    def _take_output(self, task: Task) -> None:
-        for _ in range(16):  # a task that writes without end doesn't keep the others waiting
-            try:
-                data = os.read(task.pipe, READ_BYTES)
-            except BlockingIOError:
-                return
-            if not data:
-                self._selector.unregister(task.pipe)
-                os.close(task.pipe)
-                task.pipe = -1
-                return
-            task.output.add(data)
-
-    def _close_output(self, task: Task) -> None:
-        if task.pipe >= 0:
-            self._selector.unregister(task.pipe)
-            os.close(task.pipe)
-            task.pipe = -1
-        task.output.close()
 
     # Gangs
 
-    def gathering(self) -> list[tuple[Task, str]]:
-        """The gangs' tasks here, each with its phase; those that have ended well say so until they are cleared."""
-        found = []
-        for task in self._tasks.values():
-            if not task.gang or task.state == "fetching":
-                continue  # guards against a gang that starts while one of it has no image yet
-            if task.state == "ended":
-                phase = "finished" if task.why == "done" else "lost"
-            elif task.finished:
-                phase = "finished"
-            elif task.state == "waiting":
-                phase = "waiting"
-            else:
-                phase = "running"
-            found.append((task, phase))
-        return found
+    def gang_members(self) -> list[GangMember]:
+        """Return the gangs' tasks here; those that have succeeded are among them until they are cleared."""
+        return [
+            GangMember(task, _gang_phase(task))
+            for task in self._tasks.values()
+            # guards against a gang that starts while one of its tasks has no image yet
+            if task.is_gang_task and task.state != FETCHING
+        ]
 
-    def mustered(self, task: Task, answer: GangVerdict) -> None:
+    def apply_gang_verdict(self, task: Task, answer: GangVerdict) -> None:
+        """Take over what the control service says of a gang's task."""
         if self._tasks.get((task.job, task.index, task.attempt)) is not task:
             return
         if task.kill_at is not None:
             return  # it is being stopped, and may be saving: that comes to its own end
-        if answer.verdict == "start" and task.state == "waiting":
+        if answer.verdict == "start" and task.state == WAITING:
             self._launch([task])
-        elif answer.verdict == "done" and task.finished and task.state != "ended":
+        elif answer.verdict == "done" and task.finished and task.state != ENDED:
             task.end("done")
-            self._changed()
-        elif answer.verdict == "mates_gone" and task.state != "ended":
-            if task.process:
+            self._on_change()
+        elif answer.verdict == "mates_gone" and task.state != ENDED:
+            if task.process is not None:
                 task.why = "mates_gone"
-                signal_group(task.stub.process.pid, signal.SIGKILL)
-            elif task.state != "waiting":
+                task.process.kill()
+            elif task.state != WAITING:
                 task.end("mates_gone")
-                self._changed()
+                self._on_change()
 
     # The end
 
     def stop(self) -> None:
         """End all tasks; what isn't reported is found out by the next session."""
         self._end_everything()
-        self._ending = True
+        self._is_ending = True
 
     def leave(self) -> None:
         """Give up being this machine: all tasks are ended for good before this returns."""
         self._end_everything()
-        # whoever asked may not hear of it; the next life tells it again
-        self._diary.note(machine="", nonce="", left=self.terms.machine)
-        self._ending = True
+        # whoever asked may not hear of it; the agent's next machine tells it again
+        self._write_ahead_log.note(machine="", nonce="", left=self.terms.machine)
+        self._is_ending = True
+
+
+def _gang_phase(task: Task) -> GangPhase:
+    if task.state == ENDED:
+        return "finished" if task.why == "done" else "lost"
+    if task.finished:
+        return "finished"
+    if task.state == WAITING:
+        return "waiting"
+    return "running"
--- a/tidebend/agent/write_ahead_log.py
+++ b/tidebend/agent/write_ahead_log.py
@@ -60,20 +60,24 @@
             raise WriteAheadLogError(f"{path}: {error}") from error
 
     def fact(self, name: str, default: str = "") -> str:
+        """Return a fact that was noted, or the default."""
         row = self._connection.execute("SELECT value FROM facts WHERE name = ?", (name,)).fetchone()
         return row[0] if row else default
 
     def note(self, **facts: str) -> None:
+        """Write facts, each in the place of the one of the same name."""
         with self._whole():
             self._connection.executemany("INSERT OR REPLACE INTO facts VALUES (?, ?)", facts.items())
 
     def begin(self, rows: list[StartedProcess]) -> None:
+        """Write down processes that are about to begin."""
         with self._whole():
             self._connection.executemany(
                 "INSERT INTO begun (mark, task) VALUES (?, ?)", [(row.mark, row.task) for row in rows]
             )
 
     def identify(self, rows: list[StartedProcess]) -> None:
+        """Write down the ids of processes that have begun."""
         with self._whole():
             self._connection.executemany(
                 "UPDATE begun SET pid = ?, started = ?, boot = ? WHERE mark = ?",
@@ -94,11 +98,13 @@
         self._left.clear()
 
     def begun(self) -> list[StartedProcess]:
+        """Return the processes that may be there."""
         return [
             StartedProcess(*row) for row in self._connection.execute("SELECT mark, task, pid, started, boot FROM begun")
         ]
 
     def close(self) -> None:
+        """Close the file."""
         self._connection.close()
 
     @contextlib.contextmanager
--- a/tidebend/control/gang_barrier.py
+++ b/tidebend/control/gang_barrier.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from tidebend.messages import GangMemberStatus, GangVerdict
+from tidebend.messages import GangMemberStatus, GangVerdict, Verdict
 
 # gangs that nobody told of for this long, in times of `gang_peer_s`, are forgotten
 FORGET_AFTER = 20.0
@@ -57,7 +57,7 @@
                 self._record_done(told.job, told.attempt)
         return GangVerdict(verdict)
 
-    def _verdict(self, gang: _Gang, told: GangMemberStatus, now: float) -> str:
+    def _verdict(self, gang: _Gang, told: GangMemberStatus, now: float) -> Verdict:
         phases = list(gang.phases.values())
         if any(phase in ("running", "finished") for phase in phases):
             gang.begun = True
--- a/tidebend/control/main.py
+++ b/tidebend/control/main.py
@@ -73,9 +73,8 @@
         threads = connection_limits.threads(shares) - SIDES * SIDE_THREADS
         _warn_of_few_files(settings.connections)
         self.gate = self._gate(at, lambda *_: Reply(503, {"error": "starting"}, {"Retry-After": "1"}), threads)
-        host, port = self.gate.server_address[:2]
-        self.address = f"{host}:{port}"
-        own = settings.controller(port, host)
+        self.address = f"{self.gate.host}:{self.gate.port}"
+        own = settings.controller(self.gate.port, self.gate.host)
         processes = AgentProcesses(
             directory / AGENTS, self.address, keys.absolute(), settings.agents_alone_leases, settings.tls
         )
--- a/tidebend/hcl.py
+++ b/tidebend/hcl.py
@@ -11,6 +11,7 @@
 import msgspec
 from hcl2.utils import SerializationOptions
 from lark.exceptions import LarkError, UnexpectedInput
+from lark.lexer import Token
 from lark.tree import Tree
 
 T = TypeVar("T")
@@ -60,7 +61,9 @@
                     str(word)
                     for part in node.children
                     if isinstance(part, Tree) and part.data in ("identifier", "string")
-                    for word in part.scan_values(lambda token: token.type in ("NAME", "STRING_CHARS"))
+                    for word in part.scan_values(
+                        lambda token: isinstance(token, Token) and token.type in ("NAME", "STRING_CHARS")
+                    )
                 ]
                 if node.data == "attribute":
                     words = words[:1]
@@ -79,6 +82,7 @@
         return self._lines.get(where, 1)
 
     def error(self, where: tuple[str, ...], text: str) -> HclFileError:
+        """Return an error that names the file, the line and the setting."""
         return HclFileError(f"{self.path}:{self.line(where)}: {'.'.join(where)}: {text}")
 
     def check(self, values: Any, kind: type[T], where: tuple[str, ...] = ()) -> T:
--- a/tidebend/logs.py
+++ b/tidebend/logs.py
@@ -10,17 +10,19 @@
 import sys
 
 import structlog
+from structlog.typing import Processor
 
 LEVELS = {"error": logging.ERROR, "warning": logging.WARNING, "info": logging.INFO, "debug": logging.DEBUG}
 
 
 def configure() -> None:
     """Have everything logged to standard error, as much and in the form that LOG_LEVEL and LOG_FORMAT say."""
-    shared = [
+    shared: list[Processor] = [
         structlog.stdlib.add_log_level,
         structlog.stdlib.add_logger_name,
         structlog.processors.TimeStamper(fmt="iso", utc=True),
     ]
+    shown: list[Processor]
     if os.environ.get("LOG_FORMAT") == "json":
         shown = [structlog.processors.format_exc_info, structlog.processors.JSONRenderer()]
     else:
--- a/tidebend/messages/agents.py
+++ b/tidebend/messages/agents.py
@@ -7,6 +7,8 @@
 import msgspec
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.\-]{0,60}$")]
+GangPhase = Literal["waiting", "running", "finished", "lost"]
+Verdict = Literal["wait", "start", "done", "mates_gone"]
 
 
 class Joining(msgspec.Struct, frozen=True):
@@ -43,10 +45,10 @@
     attempt: Annotated[int, msgspec.Meta(ge=0)]
     index: Annotated[int, msgspec.Meta(ge=0)]
     tasks: Annotated[int, msgspec.Meta(ge=1)]
-    phase: Literal["waiting", "running", "finished", "lost"]
+    phase: GangPhase
 
 
 class GangVerdict(msgspec.Struct, frozen=True):
     """What follows for it: start, all are done, or a mate is gone. At most one holds."""
 
-    verdict: Literal["wait", "start", "done", "mates_gone"]
+    verdict: Verdict
--- a/tidebend/messages/descriptions.py
+++ b/tidebend/messages/descriptions.py
@@ -20,6 +20,8 @@
 
 
 class Description(msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    """How a job's tasks are run."""
+
     command: Annotated[list[Text], msgspec.Meta(min_length=1, max_length=4096)]
     kind: Literal["array", "gang", "service"] = "array"
     tasks: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1
