--- a/tidebend/client/api_client.py
+++ b/tidebend/client/api_client.py
@@ -34,10 +34,13 @@
 
 
 def data_directory(given: str | None) -> Path:
+    """Return the control service's directory: the one given, else that of the environment, else the default."""
     return Path(given or os.environ.get("TIDEBEND_DATA") or Path.home() / ".tidebend")
 
 
 class ApiClient:
+    """A client of the control service's API; requests without an answer are repeated for a while."""
+
     def __init__(
         self,
         directory: Path,
@@ -87,6 +90,7 @@
         return words.state(self.call("POST", words.PATH_JOBS, words.job(ready.job, ready.spec, ready.awaits)))
 
     def job(self, job: str) -> dict[str, Any]:
+        """Return what is known of a job."""
         return self.call("GET", f"{paths.JOBS}/{job}")
 
     def jobs(self, most: int) -> list[dict[str, Any]]:
@@ -101,13 +105,17 @@
             after = page["last"]
 
     def cancel(self, job: str) -> str:
+        """Cancel a job, and return its state."""
         return words.state(self.call("POST", f"{words.PATH_JOBS}/{job}/cancel", {}))
 
     def output(self, job: str, index: int, most: int) -> dict[str, Any]:
+        """Return the last bytes that a task has written, and by which attempt."""
         return self.call("GET", f"{paths.OUTPUT}/{job}/{index}?most={most}")
 
     def agents(self) -> list[dict[str, Any]]:
+        """Return the agents."""
         return self.call("GET", paths.AGENTS)["agents"]
 
     def forget(self, machine: str) -> None:
+        """Have the control service take a machine, and all that it ran, for gone."""
         self.call("POST", f"{paths.FORGET}/{machine}", {})
--- a/tidebend/client/commands.py
+++ b/tidebend/client/commands.py
@@ -154,6 +154,7 @@
 
 
 def main(argv: list[str]) -> int:
+    """Run the command that the arguments name, and return the exit status."""
     command: list[str] = []
     if "--" in argv:
         at = argv.index("--")
--- a/tidebend/client/jobfile.py
+++ b/tidebend/client/jobfile.py
@@ -21,6 +21,8 @@
 
 
 class JobBlock(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A job as its block in a file describes it."""
+
     command: Annotated[list[Text], msgspec.Meta(min_length=1)]
     kind: Literal["array", "gang", "service"] = "array"
     tasks: Annotated[int, msgspec.Meta(ge=1, le=100_000)] = 1
@@ -45,6 +47,7 @@
     limits: Bounds = Bounds()
 
     def spec(self, name: str) -> JobSpec:
+        """Return what the scheduler has to know of the job."""
         return JobSpec(
             job_class=name,
             team=self.team,
@@ -68,6 +71,7 @@
         )
 
     def description(self) -> Description:
+        """Return what agents have to know of the job."""
         return Description(
             command=self.command,
             kind=self.kind,
@@ -104,9 +108,23 @@
 
 
 def read_jobs(path: str) -> list[Ready]:
-    """The jobs of a file, each after those it waits for. Raises HclFileError."""
+    """Return the jobs of a file, each after those it waits for. Raises HclFileError."""
     file = HclFile(path)
     file.only("job")
+    _unwrap_limits(file)
+    blocks = file.labelled("job", JobBlock)
+    if not blocks:
+        raise file.error(("job",), 'expected at least one job "NAME" { command = [...] }')
+    for name, block in blocks.items():
+        _check_name(file, name)
+        _check_dependencies(file, name, block, blocks)
+    ids = {name: new_id(name) for name in blocks}
+    directory = Path(path).parent.absolute()
+    return [_ready(name, blocks[name], ids, directory) for name in _in_order_of_dependencies(file, blocks)]
+
+
+def _unwrap_limits(file: HclFile) -> None:
+    """Have the limits of each job be their block, not a list with it."""
     for row in file.values.get("job", []):
         for label, values in row.items() if isinstance(row, dict) else ():
             limits = values.get("limits") if isinstance(values, dict) else None
@@ -114,43 +132,46 @@
                 if len(limits) != 1:
                     raise file.error(("job", label, "limits"), "expected one block")
                 values["limits"] = limits[0]
-    blocks = file.labelled("job", JobBlock)
-    if not blocks:
-        raise file.error(("job",), 'expected at least one job "NAME" { command = [...] }')
-    ids = {}
-    for name in blocks:
-        try:
-            msgspec.convert(name, JobName)
-        except msgspec.ValidationError as error:
-            raise file.error(("job", name), str(error)) from error
-        ids[name] = new_id(name)
-    ready: dict[str, Ready] = {}
-    while len(ready) < len(blocks):
-        before = len(ready)
+
+
+def _check_name(file: HclFile, name: str) -> None:
+    try:
+        msgspec.convert(name, JobName)
+    except msgspec.ValidationError as error:
+        raise file.error(("job", name), str(error)) from error
+
+
+def _check_dependencies(file: HclFile, name: str, block: JobBlock, blocks: dict[str, JobBlock]) -> None:
+    for other in block.after:
+        if other not in blocks and not other.startswith("req-"):
+            raise file.error(("job", name, "after"), f"{other!r} is neither a job of this file nor an id")
+        if other in blocks and blocks[other].kind == "service":
+            raise file.error(("job", name, "after"), f"{other!r} is a service, which never is done")
+
+
+def _in_order_of_dependencies(file: HclFile, blocks: dict[str, JobBlock]) -> list[str]:
+    """Return the names of the jobs, each after those that it waits for."""
+    ordered: dict[str, None] = {}
+    while len(ordered) < len(blocks):
+        before = len(ordered)
         for name, block in blocks.items():
-            if name in ready or any(other in blocks and other not in ready for other in block.after):
-                continue
-            for other in block.after:
-                if other not in blocks and not other.startswith("req-"):
-                    raise file.error(("job", name, "after"), f"{other!r} is neither a job of this file nor an id")
-                if other in blocks and blocks[other].kind == "service":
-                    raise file.error(("job", name, "after"), f"{other!r} is a service, which never is done")
-            if block.directory is not None:  # a relative one is meant from where the file is
-                block = msgspec.structs.replace(block, directory=str(Path(path).parent.absolute() / block.directory))
-            ready[name] = Ready(
-                ids[name],
-                name,
-                block.spec(name),
-                block.description(),
-                tuple(ids.get(other, other) for other in block.after),
-            )
-        if len(ready) == before:
-            name = next(name for name in blocks if name not in ready)
+            if name not in ordered and all(other in ordered for other in block.after if other in blocks):
+                ordered[name] = None
+        if len(ordered) == before:
+            name = next(name for name in blocks if name not in ordered)
             raise file.error(("job", name, "after"), "these jobs wait for each other")
-    return list(ready.values())
+    return list(ordered)
+
+
+def _ready(name: str, block: JobBlock, ids: dict[str, str], directory: Path) -> Ready:
+    if block.directory is not None:  # a relative one is meant from where the file is
+        block = msgspec.structs.replace(block, directory=str(directory / block.directory))
+    dependencies = tuple(ids.get(other, other) for other in block.after)
+    return Ready(ids[name], name, block.spec(name), block.description(), dependencies)
 
 
 def one_job(block: JobBlock, name: str) -> Ready:
+    """Return a job that stands in no file."""
     return Ready(new_id(name), name, block.spec(name), block.description(), ())
 
 
--- a/tidebend/client/rendering.py
+++ b/tidebend/client/rendering.py
@@ -40,12 +40,14 @@
 
 
 def up(control: Any) -> None:
+    """Say where a control service that was started serves."""
     console = _console()
     console.print(f"tidebend serves on {control.address}, its data is in {control.directory}. Ctrl-C ends it.")
     console.print("In another terminal: tidebend submit -- echo hello", soft_wrap=True)
 
 
 def submitted(rows: list[dict[str, Any]]) -> None:
+    """Print the ids and states of jobs."""
     for row in rows:
         print(row["job"], row["state"])
 
@@ -67,10 +69,12 @@
 
 
 def jobs(rows: list[dict[str, Any]]) -> None:
+    """Print a table of jobs."""
     _console().print(_jobs(rows) if rows else "no jobs")
 
 
 def details(rows: list[dict[str, Any]]) -> None:
+    """Print jobs with what they wait for and where they run."""
     console = _console()
     for row in rows:
         console.print(_jobs([row]))
@@ -97,10 +101,12 @@
 
 
 def agents(rows: list[dict[str, Any]]) -> None:
+    """Print a table of agents."""
     _console().print(_agents(rows) if rows else "no agents")
 
 
 def keys(value: dict[str, Any]) -> None:
+    """Print a table of keys."""
     table = _table("key", "made", "state")
     for row in value["keys"]:
         made = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(row["made"]))
@@ -117,6 +123,7 @@
 
 
 def certificates(rows: list[dict[str, Any]]) -> None:
+    """Print a table of certificates."""
     table = _table("certificate", "until")
     for row in rows:
         table.add_row(row["file"], time.strftime("%Y-%m-%d", time.gmtime(row["until"])))
@@ -130,6 +137,7 @@
 
 
 def top(value: dict[str, Any]) -> None:
+    """Print the agents and the jobs once."""
     _console().print(_top(value))
 
 
--- a/tidebend/control/api.py
+++ b/tidebend/control/api.py
@@ -7,7 +7,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import TimeoutError as NotYet
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
 import msgspec
@@ -35,7 +35,15 @@
 PLACE = re.compile(r"(?P<job>[^/]+)(?:/(?P<index>\d{1,6}))?\Z")
 
 
+class _Request(NamedTuple):
+    name: str  # what follows the path's first word
+    arguments: dict[str, str]
+    body: Callable[[], bytes]
+
+
 class ControlApi:
+    """The API beside the protocol, for users' programs and agents."""
+
     def __init__(
         self,
         engine: Engine,
@@ -51,39 +59,45 @@
         self._provider = provider
         self._terms = terms
         self._connect = connect
-        self._musters = GangBarriers(gang_peer_s, self._gang_is_done, self._record_gang_done)
+        self._gang_barriers = GangBarriers(gang_peer_s, self._gang_is_done, self._record_gang_done)
+        # by method, the path's first word, and whether something follows that
+        self._handlers: dict[tuple[str, str, bool], Callable[[_Request], Reply]] = {
+            ("POST", "descriptions", True): lambda request: self._describe(request.name, request.body()),
+            ("GET", "descriptions", True): lambda request: self._description(
+                request.name, request.arguments.get("machine", "")
+            ),
+            ("GET", "jobs", False): lambda request: self._list(request.arguments),
+            ("GET", "jobs", True): lambda request: self._job(request.name),
+            ("GET", "output", True): lambda request: self._output(request.name, request.arguments),
+            ("GET", "agents", False): lambda _: Reply(200, {"agents": self._agents()}),
+            ("POST", "agents", False): lambda request: self._join(request.body()),
+            ("POST", "forget", True): lambda request: self._forget(request.name),
+            ("POST", "muster", False): lambda request: self._gang_status(request.body()),
+        }
 
     def route(self, method: str, path: str, body: Callable[[], bytes]) -> Reply:
+        """Answer a request."""
         path, _, query = path.partition("?")
         table, _, rest = path[len(paths.DESK) :].partition("/")
         arguments = {key: values[-1] for key, values in parse_qs(query, max_num_fields=16).items()}
+        handler = self._handlers.get((method, table, bool(rest)))
+        if handler is None:
+            return Reply(404, {"error": "no such path"})
         try:
-            match method, table, bool(rest):
-                case "POST", "descriptions", True:
-                    return self._describe(rest, body())
-                case "GET", "descriptions", True:
-                    return self._description(rest, arguments.get("machine", ""))
-                case "GET", "jobs", False:
-                    return self._list(arguments)
-                case "GET", "jobs", True:
-                    return self._job(rest)
-                case "GET", "output", True:
-                    return self._output(rest, arguments)
-                case "GET", "agents", False:
-                    return Reply(200, {"agents": self._agents()})
-                case "POST", "agents", False:
-                    return self._join(body())
-                case "POST", "forget", True:
-                    gone = self._provider.forget(rest)
-                    return Reply(200, {}) if gone else Reply(404, {"error": f"no machine {rest}"})
-                case "POST", "muster", False:
-                    told = msgspec.json.decode(body(), type=GangMemberStatus)
-                    return Reply(200, msgspec.to_builtins(self._musters.tell(told)))
+            return handler(_Request(rest, arguments, body))
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             return Reply(400, {"error": str(error)})
         except (StoreUnavailableError, ConditionFailedError, NotYet) as error:
             return Reply(503, {"error": f"not recorded: {error}"}, LATER)
-        return Reply(404, {"error": "no such path"})
+
+    def _forget(self, machine: str) -> Reply:
+        if self._provider.forget(machine):
+            return Reply(200, {})
+        return Reply(404, {"error": f"no machine {machine}"})
+
+    def _gang_status(self, raw: bytes) -> Reply:
+        status = msgspec.json.decode(raw, type=GangMemberStatus)
+        return Reply(200, msgspec.to_builtins(self._gang_barriers.tell(status)))
 
     # Descriptions
 
@@ -193,6 +207,7 @@
     # Agents
 
     def address_of(self, machine: str) -> tuple[str, int] | None:
+        """Return the address of a machine's agent, None if it hasn't reported."""
         with self._controller.machine_registry.lock:
             known = self._controller.machine_registry.machines.get(machine)
             return known.address if known else None
--- a/tidebend/control/gang_barrier.py
+++ b/tidebend/control/gang_barrier.py
@@ -29,6 +29,8 @@
 
 
 class GangBarriers:
+    """Has the tasks of each gang start together and complete together."""
+
     def __init__(
         self, gang_peer_s: float, is_done: Callable[[str, int], bool], record_done: Callable[[str, int], None]
     ) -> None:
--- a/tidebend/control/main.py
+++ b/tidebend/control/main.py
@@ -40,6 +40,8 @@
 
 
 class Control:
+    """The control service: key-value store, provider, controller and the servers in front of them."""
+
     def __init__(self, settings: ControlSettings, directory: Path) -> None:
         """Open the data directory and listen.
 
@@ -176,6 +178,7 @@
         return Reply(status, answer)
 
     def start(self) -> None:
+        """Begin to serve."""
         self.controller.begin()
         self.gate.route = self._route
         for gate in self.gates:
--- a/tidebend/control/metrics.py
+++ b/tidebend/control/metrics.py
@@ -31,9 +31,11 @@
         self._registry.register(self)
 
     def answer(self) -> Reply:
+        """Return the metrics in the text format of Prometheus."""
         return Reply(200, generate_latest(self._registry), content_type=CONTENT_TYPE_LATEST)
 
     def collect(self) -> Iterator[Metric]:
+        """Return the metrics as they are now."""
         jobs = GaugeMetricFamily("tidebend_jobs", "Jobs that aren't over, by kind and state.", labels=["kind", "state"])
         counted: Counter[tuple[str, str]] = Counter()
         waiting = 0
--- a/tidebend/control/settings.py
+++ b/tidebend/control/settings.py
@@ -67,6 +67,8 @@
 
 
 class ControlSettings(msgspec.Struct, frozen=True):
+    """The settings of a control service, as its file has them."""
+
     listen: str
     metrics_listen: str
     zone: str
--- a/tidebend/provider/agents.py
+++ b/tidebend/provider/agents.py
@@ -50,6 +50,7 @@
         self._ending: set[str] = set()
 
     def directory(self, name: str) -> Path:
+        """Return the directory of a machine's agent."""
         return self._root / name
 
     def keep_up(self, name: str, kind: str, nonce: str) -> None:
--- a/tidebend/provider/local.py
+++ b/tidebend/provider/local.py
@@ -54,10 +54,13 @@
 
     @property
     def limit(self) -> int:
+        """The most agents of this type."""
         return self.agents if self.most is None else self.most
 
 
 class Machine(msgspec.Struct, frozen=True):
+    """A machine on record."""
+
     kind: str
     zone: str
     here: bool  # its agent is a process that we start and end
@@ -77,6 +80,8 @@
 
 
 class Provider:
+    """Stands in for a cloud: its machines are agents, which it starts here or which join from elsewhere."""
+
     def __init__(
         self,
         engine: Engine,
@@ -107,6 +112,7 @@
                 self._machines[row.key[len(MACHINE) :]] = (machine, row.version)
 
     def machines(self) -> dict[str, Machine]:
+        """Return the machines by name."""
         with self._lock:
             return {name: machine for name, (machine, _) in self._machines.items()}
 
@@ -177,6 +183,7 @@
             return name
 
     def terms(self, kind: str) -> Kind:
+        """Return what is told to an agent of a type that joins."""
         return self._kinds[kind]
 
     # The cloud's interface
@@ -285,6 +292,7 @@
     # Agents here are kept up
 
     def start(self) -> None:
+        """Start the thread that keeps agents here going."""
         threading.Thread(target=self._tend, name="provider", daemon=True).start()
 
     def _tend(self) -> None:
@@ -297,6 +305,7 @@
                 log.exception("provider")
 
     def tend_once(self) -> None:
+        """Start and end agents here as the record says."""
         with self._step:
             for name, kind in self._kinds.items():
                 missing = kind.agents - self._here(name)
