Cancellations that can't be sealed now keep a mapping event from nothing else

Cause, found by rereading: sealing stood first in the mapping event and raised what its write raised. While the state service refused changes, a controller that knew an unsealed cancellation would have collected no completions, sent no stops of cancelled jobs and placed nothing, event after event.

Change: it comes after completions are collected and stops are sent, its failures are left to the next event, and it waits a tenth of a second at the most. Answers still wait a second for it.

Test: a mapping event goes on when sealing fails; both cases fail with the code before.

--- a/tests/test_final_states.py
+++ b/tests/test_final_states.py
@@ -178,6 +178,17 @@
     assert not found, found[:5]
 
 
+@pytest.mark.parametrize("error", [NotExecutedError("refused"), OutcomeUnknownError("no answer")], ids=lambda e: str(e))
+def test_cancellations_that_cannot_be_sealed_now_keep_the_mapping_event_from_nothing(error):
+    for world in begun():
+        with mock.patch.object(CancellationSealer, "seal_all", side_effect=error) as seal_all:
+            world.submit("req-a", **{**JOB, "run_s": 3.0})
+            for _ in range(100):
+                world.step()
+        assert seal_all.called
+        assert world.answers["req-a"] == (200, "done")
+
+
 def test_a_cancellation_that_production_recorded_is_sealed_after_the_rise_of_the_format_too():
     """A transaction of production's that got no answer may be executed later still."""
     for world in begun():
--- a/tidebend/controller/records/cancellation_sealer.py
+++ b/tidebend/controller/records/cancellation_sealer.py
@@ -8,6 +8,11 @@
 from tidebend.kvclient import NotExecutedError
 from tidebend.quota import TeamUsage
 
+# the time in seconds for which a write ahead of an answer is repeated: users wait 2 s for the answer to a poll
+ANSWER_PATIENCE_S = 1.0
+# the time in seconds for which a write on sight is repeated; the next mapping event tries again
+ON_SIGHT_PATIENCE_S = 0.1
+
 
 class CancellationSealer:
     """Keeps cancelled jobs cancelled, though controllers of the first schema version may record them as done.
@@ -27,7 +32,7 @@
         """
         if not self._needs_sealing(job_id):
             return
-        self._write([job_id])
+        self._write([job_id], ANSWER_PATIENCE_S)
         if self._needs_sealing(job_id):
             raise NotExecutedError("the cancellation isn't sealed")
 
@@ -38,10 +43,10 @@
         """
         unsealed = self._job_cache.unsealed()
         if unsealed:
-            self._write(unsealed)
+            self._write(unsealed, ON_SIGHT_PATIENCE_S)
 
-    def _write(self, job_ids: list[str]) -> None:
-        self._job_writer.change_all([JobEdit(job_id, _sealed) for job_id in job_ids])
+    def _write(self, job_ids: list[str], patience: float) -> None:
+        self._job_writer.change_all([JobEdit(job_id, _sealed) for job_id in job_ids], patience)
 
     def _needs_sealing(self, job_id: str) -> bool:
         job = self._job_cache.get(job_id)
--- a/tidebend/controller/scheduler/scheduling_loop.py
+++ b/tidebend/controller/scheduler/scheduling_loop.py
@@ -115,9 +115,9 @@
         workers and users that are late for want of processor time. Completions don't rest with it: users expect to
         hear of them. Raises `NotExecutedError` or `OutcomeUnknownError` if the state service can't be reached.
         """
-        self.cancellation_sealer.seal_all()
         self._resolve_final_records()
         self.completions.collect()
+        self._seal_cancellations()
         if self.coordinator.term is not None:
             with contextlib.suppress(ConflictError):
                 self.quota_rebalancer.establish_quotas()
@@ -129,6 +129,10 @@
         finally:
             self.completions.record_completions()
 
+    def _seal_cancellations(self) -> None:
+        with contextlib.suppress(NotExecutedError, OutcomeUnknownError):
+            self.cancellation_sealer.seal_all()
+
     def _resolve_final_records(self) -> None:
         unresolved = self.job_cache.unresolved()
         if unresolved:
