--- a/simulation/__main__.py
+++ b/simulation/__main__.py
@@ -18,9 +18,10 @@
 
 from simulation.experiment import read
 from simulation.model import FAULTS, Size, explore
-from simulation.plays import VersionNotFoundError, play_all
+from simulation.plays import play_all
 from simulation.search import FAULTS as SEARCH_FAULTS
 from simulation.search import search as find
+from simulation.versions import VersionNotFoundError
 from tidebend.hcl import HclFileError
 
 BROKEN, UNUSABLE = 1, 2
@@ -163,18 +164,26 @@
     search.add_argument(
         "--fault", choices=sorted(SEARCH_FAULTS), default="", help="plant a fault, to see that it is found"
     )
+    search.add_argument(
+        "--from",
+        dest="former",
+        default="",
+        metavar="COMMIT",
+        help="begin with the version of a commit, whose controllers are replaced during the troubles",
+    )
     search.add_argument("--json", action="store_true", help="print each world that broke a rule as a line of JSON")
     return made
 
 
 def search(arguments: argparse.Namespace) -> int:
-    broken = unfinished = 0
+    broken = unfinished = contradicted = 0
     seeds = range(arguments.first, arguments.first + arguments.worlds)
     with Progress(console=Console(stderr=True, quiet=arguments.json)) as bar:
         task = bar.add_task("worlds", total=len(seeds))
-        for made in find(seeds, arguments.fault, arguments.workers):
+        for made in find(seeds, arguments.fault, arguments.workers, arguments.former):
             bar.advance(task)
             broken += bool(made["breaches"])
+            contradicted += bool(made["contradicted_new"])
             unfinished += bool(made["unfinished"])
             if made["breaches"] and arguments.json:
                 print(json.dumps(made))
@@ -184,6 +193,7 @@
                 print(f"unfinished: seed {made['seed']}: {'; '.join(made['troubles'])}: {made['unfinished']}")
     if not arguments.json:
         print(f"{len(seeds)} worlds: a rule broken in {broken}, something accepted that didn't end in {unfinished}")
+        print(f"what a controller of today's version called final was called something else later in {contradicted}")
     return BROKEN if broken else 0
 
 
@@ -212,9 +222,13 @@
     arguments = parser().parse_args(words)
     if arguments.command == "model":
         return model(arguments)
-    if arguments.command == "search":
-        return search(arguments)
     errors = Console(stderr=True)
+    if arguments.command == "search":
+        try:
+            return search(arguments)
+        except VersionNotFoundError as error:
+            errors.print(f"simulation: {error}", markup=False, highlight=False)
+            return UNUSABLE
     if arguments.svg and importlib.util.find_spec("matplotlib") is None:
         errors.print("simulation: --svg needs what requirements-bench.txt names", highlight=False)
         return UNUSABLE
--- a/simulation/plays.py
+++ b/simulation/plays.py
@@ -10,18 +10,12 @@
 
 from simulation.experiment import read
 from simulation.play import play
-from simulation.versions import at
-
-
-class VersionNotFoundError(Exception):
-    """A commit isn't in the history at hand."""
+from simulation.versions import version_at
 
 
 def one(path: str, changes: dict[str, str], seed: int, source: str | None) -> dict:
     """One play; `source` None is the code at hand."""
-    version = at(source) if source else None
-    if source and version is None:
-        raise VersionNotFoundError(f"no commit {source} in the history at hand")
+    version = version_at(source) if source else None
     return {"source": source or "at hand", "set": changes, **play(read(path, changes), seed, version)}
 
 
--- a/simulation/search.py
+++ b/simulation/search.py
@@ -11,12 +11,13 @@
 from collections.abc import Callable, Iterator
 from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
+from functools import partial
 from unittest import mock
 
 from simulation.checker import BesideRoom, contradicted, judged, starts_after_cancellation
 from simulation.links import Cut
 from simulation.play import cut_zone
-from simulation.versions import Version
+from simulation.versions import Version, version_at
 from simulation.world import World
 from tidebend.cluster_state.machine import Machine
 from tidebend.controller.api.job_api import JobApi
@@ -603,12 +604,14 @@
         yield
 
 
-def play_with(fault: str, seed: int, meeting: tuple[str, ...] = ()) -> dict:
+def play_with(fault: str, seed: int, meeting: tuple[str, ...] = (), former_commit: str = "") -> dict:
+    """`former_commit`: of the version that the world begins with; raises VersionNotFoundError if it isn't there."""
+    former = version_at(former_commit) if former_commit else None
     with FAULTS[fault]() if fault else contextlib.nullcontext():
-        return play(seed, meeting)
+        return play(seed, meeting, former)
 
 
-def search(seeds: range, fault: str = "", workers: int = 4) -> Iterator[dict]:
+def search(seeds: range, fault: str = "", workers: int = 4, former_commit: str = "") -> Iterator[dict]:
     """What came of each of these seeds, in their order."""
     with ProcessPoolExecutor(workers) as pool:
-        yield from pool.map(play_with, [fault] * len(seeds), seeds, chunksize=4)
+        yield from pool.map(partial(play_with, fault, former_commit=former_commit), seeds, chunksize=4)
--- a/simulation/versions.py
+++ b/simulation/versions.py
@@ -71,6 +71,18 @@
         return at(tomllib.load(source)["production"])
 
 
+class VersionNotFoundError(Exception):
+    """A commit isn't in the history at hand."""
+
+
+def version_at(commit: str) -> Version:
+    """The package as it was at a commit. Raises VersionNotFoundError."""
+    version = at(commit)
+    if version is None:
+        raise VersionNotFoundError(f"no commit {commit} in the history at hand")
+    return version
+
+
 @cache
 def at(commit: str) -> Version | None:
     """The package as it was at a commit; None where the history at hand doesn't have it."""
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -45,6 +45,11 @@
         assert not made["breaches"], made
 
 
+def test_the_search_names_a_commit_that_is_not_there(capsys):
+    assert main(["search", "--worlds", "1", "--workers", "1", "--from", "nosuch"]) == 2
+    assert "no commit nosuch" in capsys.readouterr().err
+
+
 def test_the_search_tells_by_its_exit_status_whether_a_rule_was_broken(capsys):
     assert main(["search", "--first", "1", "--worlds", "2", "--workers", "2"]) == 0
     assert "a rule broken in 0" in capsys.readouterr().out
