One check for answers that go back, and one machine type for the tests of final states

After a reread: `contradicted` had the condition of the rule went_back written out a second time, and the tests of final states the type of machine that test_guards has. Both use the one there is; the type is the same by comparison. The comment on `cancel_at_end` says what the line does. Tests and simulation only; no assertion and no bound changes.

--- a/simulation/checker.py
+++ b/simulation/checker.py
@@ -2,6 +2,16 @@
 
 from __future__ import annotations
 
+FINAL_STATES = ("done", "withdrawn")
+
+
+def goes_back(final, said_at, state, began):
+    """Whether an answer contradicts a final one, which stands at `said_at` in the log.
+
+    An answer that isn't final may be older if its question was asked, at `began` in the log, before the final one.
+    """
+    return state != final and (said_at < began or state in FINAL_STATES)
+
 
 def breaches(log, jobs, teams, cancel_s, completed_at=None):
     """Every rule broken, as (rule, time, text)."""
@@ -96,7 +106,7 @@
             if status in (200, 201):
                 accepted.setdefault(job, now)
                 accepted_at.setdefault(job, place)
-                if job in finals and state != finals[job] and (ended_at[job] < began or state in ("done", "withdrawn")):
+                if job in finals and goes_back(finals[job], ended_at[job], state, began):
                     found.append(("went_back", now, f"{job}: {finals[job]}, then {state}"))
                 if state == "withdrawn":
                     if not any(("cancel", other) in first_asked for other in {job, *before(job)}):
@@ -115,7 +125,7 @@
                     missing = [n for n in range(jobs[job]["pieces"]) if completed_at.get(f"{job}/{n}", 1e18) > now]
                     if missing:
                         found.append(("not_done", now, f"{job} lacks {missing[:3]}"))
-                if state in ("done", "withdrawn"):
+                if state in FINAL_STATES:
                     finals.setdefault(job, state)
                     ended_at.setdefault(job, place)
     if not any(row[1] == "on" for row in log):
@@ -133,9 +143,9 @@
         if row[1] != "told" or row[4] not in (200, 201):
             continue
         job, state, began, is_new = row[3], row[5], row[6], row[8]
-        if job in final and state != final[job] and (said_at[job] < began or state in ("done", "withdrawn")):
+        if job in final and goes_back(final[job], said_at[job], state, began):
             found.add(job)
-        if state in ("done", "withdrawn") and (is_new or not by_new_only):
+        if state in FINAL_STATES and (is_new or not by_new_only):
             final.setdefault(job, state)
             said_at.setdefault(job, place)
     return found
--- a/tests/test_final_states.py
+++ b/tests/test_final_states.py
@@ -16,7 +16,7 @@
 from simulation.search import play as play_search
 from simulation.versions import at, production
 from simulation.world import NEW, World
-from tests.test_guards import begun
+from tests.test_guards import TYPES, begun
 from tests.test_scenarios import JOB
 from tidebend.cluster_state.allocations import Allocation
 from tidebend.cluster_state.job_records import JOB as JOB_KEY
@@ -28,18 +28,7 @@
 
 ZONES = ["north", "south", "west"]
 TEAM = {"name": "team", "cpus": 40.0, "cpus_max": 200.0, "gpus": 0.0, "gpus_max": 0.0}
-BOX = {
-    "name": "box",
-    "vcpus": 8.0,
-    "accelerators": 0.0,
-    "memoryGb": 32.0,
-    "localGb": 50.0,
-    "fetchGbPerS": 1.0,
-    "price": 1.0,
-    "spotPrice": 0.4,
-    "startupS": 10.0,
-    "harbors": ZONES,
-}
+BOX = {**TYPES[0], "harbors": ZONES}
 JOBS = {
     "array": {"pieces": 3, "vcpus": 1.0, "run_s": 4.0},
     "one": {"pieces": 1, "vcpus": 1.0, "run_s": 3.0},
--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -153,7 +153,8 @@
             world.submit(rest[0], **{**JOB, **fields(rest[1:])})
         elif what == "cancel":
             world.cancel(rest[0])
-        elif what == "cancel_at_end":  # SECONDS SHARE [NODE]: of the jobs that end, by this node
+        elif what == "cancel_at_end":
+            # SECONDS SHARE [NODE]: so many of the jobs that end are cancelled at that moment, through this controller
             world.cancelled_at_end.append((world.now + float(rest[0]), float(rest[1])))
             world.cancelled_through = rest[2] if len(rest) > 2 else None
         elif what == "ask":  # a single request: poll, submit or cancel, of a certain node
