Review, case 1: a cancelled task stays on a machine that hangs

The holder of its zone hasn't read the cancellation, and the controllers that have leave the machine to it.

--- a/review/standin/cluster.py
+++ b/review/standin/cluster.py
@@ -240,6 +240,12 @@
         own = dict(zip(self.site.zones, self.names, strict=True))
         return self.wait_ready(self.names, seconds) and self.wait(lambda: self.holders() == own, seconds)
 
+    def leader(self) -> str | None:
+        """Return the leader, to choose whom a disruption hits."""
+        with self.store.changed:
+            row = self.store.items.get("tidebend/live/leader")
+        return row[0]["node"] if row else None
+
     def holders(self) -> dict[str, str]:
         """Return the holder of each zone's shard, for a test's timing only."""
         prefix = "tidebend/live/block/"
