--- a/review/1/case.py
+++ b/review/1/case.py
@@ -47,7 +47,7 @@
     if trouble:
         time.sleep(OUTAGE_AFTER_S)
         cluster.note("state service: refuses everybody")
-        cluster.store.refused.update(cluster.names)
+        cluster.store.is_out = True
     waited_s = 0.0
     while cluster.world.on_machine[f"{JOB}/0"] and waited_s < HANG_S:
         time.sleep(0.2)
@@ -55,7 +55,7 @@
     cluster.note(f"check: {waited_s:.1f} s after its user was told, the task is on {cluster.world.on_machine}")
     cluster.note("the machine goes on, and the state service serves again")
     machine.hung = False
-    cluster.store.refused.clear()
+    cluster.store.end_outage()
     time.sleep(3.0)
     return waited_s
 
--- a/review/standin/cluster.py
+++ b/review/standin/cluster.py
@@ -71,9 +71,10 @@
     cloud_rps=2.0,
     list_lag_s=10.0,
     kinds=(
-        MachineType("piccola", 4.0, 32.0, 20.0, 0.1),
-        MachineType("media", 8.0, 32.0, 25.0, 0.1),
-        MachineType("grande", 16.0, 64.0, 40.0, 0.12),
+        MachineType("piccola", 4.0, 32.0, 20.0, 0.1, price=0.27),
+        MachineType("media", 8.0, 32.0, 25.0, 0.1, price=0.42),
+        MachineType("grande", 16.0, 64.0, 40.0, 0.12, price=0.98),
+        MachineType("calcolo-gpu", 24.0, 96.0, 30.0, 0.12, gpus=2.0, price=6.21),
     ),
     teams=(("sala-operativa", 120.0, 500.0), ("sistemi-it", 120.0, 900.0)),
     max_sockets=1200,
@@ -240,6 +241,11 @@
         own = dict(zip(self.site.zones, self.names, strict=True))
         return self.wait_ready(self.names, seconds) and self.wait(lambda: self.holders() == own, seconds)
 
+    def running(self) -> int:
+        """Return how many tasks are on a machine."""
+        with self.world.lock:
+            return sum(bool(places) for places in self.world.on_machine.values())
+
     def leader(self) -> str | None:
         """Return the leader, to choose whom a disruption hits."""
         with self.store.changed:
--- a/review/standin/machines.py
+++ b/review/standin/machines.py
@@ -36,6 +36,8 @@
     memory_gb: float
     boot_s: float = 30.0
     fetch_gb_per_s: float = 0.3
+    gpus: float = 0.0
+    price: float = 0.33
 
 
 @dataclass
@@ -110,6 +112,13 @@
         with self.lock:
             return all(task.state == "ended" for task in self.tasks.values())
 
+    def free(self) -> tuple[float, float]:
+        """Return the CPUs and GB of memory that no task uses."""
+        with self.lock:
+            active = [task.job for task in self.tasks.values() if task.state != "ended"]
+        cpus, gb = sum(job["vcpus"] for job in active), sum(job["memoryGb"] for job in active)
+        return self.kind.cpus - cpus, self.kind.memory_gb - gb
+
     def end(self) -> None:
         """Take the machine away with everything on it."""
         with self.lock:
@@ -206,6 +215,7 @@
             task.state, task.cause = "ended", "in_use"
         elif (
             sum(other.job["vcpus"] for other in active) + job["vcpus"] > self.kind.cpus + 1e-6
+            or sum(other.job["accelerators"] for other in active) + job["accelerators"] > self.kind.gpus + 1e-6
             or sum(other.job["memoryGb"] for other in active) + job["memoryGb"] > self.kind.memory_gb + 1e-6
         ):
             task.state, task.cause = "ended", "full"
@@ -404,12 +414,12 @@
         return {
             "name": kind.name,
             "vcpus": kind.cpus,
-            "accelerators": 0,
+            "accelerators": kind.gpus,
             "memoryGb": kind.memory_gb,
             "localGb": 70,
             "fetchGbPerS": kind.fetch_gb_per_s,
-            "price": 0.33,
-            "spotPrice": 0.11,
+            "price": kind.price,
+            "spotPrice": round(0.4 * kind.price, 2),
             "startupS": kind.boot_s,
             "harbors": self.zones,
         }
--- a/review/standin/slow_return.py
+++ b/review/standin/slow_return.py
@@ -1,4 +1,4 @@
-"""The disruption of cases 2 and 3: a controller is killed and comes back while users cancel waiting jobs."""
+"""The disruption of case 2: a controller is killed and comes back while users cancel waiting jobs."""
 
 from __future__ import annotations
 
--- a/review/standin/store.py
+++ b/review/standin/store.py
@@ -60,8 +60,10 @@
         # controller, method, path, body -> treatment; for a test
         self.treat: Callable[[str, str, str, Any], Treatment] = lambda *_: Treatment()
         self.answered: Callable[[str, str, str, Any, Answer], None] = lambda *_: None
-        # a 503 for every request of these controllers
+        # every request of these controllers is answered 503; their leases run out
         self.refused: set[str] = set()
+        # every request is answered 503; no lease runs out
+        self.is_out = False
         self._last_lease = 0
         self.ports = {name: serve(lambda *args, name=name: self._serve(name, *args)).server_port for name in names}
         threading.Thread(target=self._expire, daemon=True).start()
@@ -75,13 +77,24 @@
             time.sleep(5.0)
             return None
         time.sleep(self.latency_s / 2 + treatment.hold_s)
-        answer = (503, {"error": "trouble"}) if treatment.refuse or name in self.refused else None
+        answer = (503, {"error": "trouble"}) if treatment.refuse or self._refuses(name) else None
         if answer is None:
             answer = self._execute(name, method, path, body)
         self.answered(name, method, path, body, answer)
         time.sleep(self.latency_s / 2 + treatment.slow_s)
         return None if treatment.lose else answer
 
+    def _refuses(self, name: str) -> bool:
+        return self.is_out or name in self.refused
+
+    def end_outage(self) -> None:
+        """Serve everybody again; each lease has its full time again."""
+        with self.changed:
+            for row in self.leases.values():
+                row[1] = time.monotonic() + row[0]
+            self.refused.clear()
+            self.is_out = False
+
     def _execute(self, name: str, method: str, path: str, body: Any) -> Answer:
         path, _, query = path.partition("?")
         fields = {key: values[0] for key, values in parse_qs(query, keep_blank_values=True).items()}
@@ -160,21 +173,24 @@
             time.sleep(0.03)
             with self.changed:
                 now = time.monotonic()
-                for lease in [lease for lease, (_, end) in self.leases.items() if end < now]:
+                ended = [] if self.is_out else [lease for lease, (_, end) in self.leases.items() if end < now]
+                for lease in ended:
                     self._end(lease)
 
     def _changes(self, name: str, fields: dict[str, str]) -> Answer:
         prefix, revision = fields["under"], int(fields["from"])
         until = time.monotonic() + int(fields.get("waitMs", 0)) / 1000
         while True:
+            # an open watch waits while its controller is refused, and in an outage
+            while self._refuses(name):
+                self.changed.wait(0.1)
             first = bisect_right(self.log_revisions, revision)
             if len(self.log) > KEPT_CHANGES and first < len(self.log) - KEPT_CHANGES:
                 return 410, {"error": "too old"}
             rows = [row for row in self.log[first:] if (row.get("put") or row["delete"]).startswith(prefix)]
             left = until - time.monotonic()
-            # a refused controller's open watches wait as in an outage
-            if (rows and name not in self.refused) or left <= 0:
-                return 200, {"logline": self.revision if name not in self.refused else revision, "log": rows}
+            if rows or left <= 0:
+                return 200, {"logline": self.revision, "log": rows}
             self.changed.wait(left)
 
     def _range(self, prefix: str, after: str, page: int) -> Answer:
