--- a/review/standin/web.py
+++ b/review/standin/web.py
@@ -4,6 +4,8 @@
 
 import http.client
 import json
+import select
+import socket
 import threading
 from collections.abc import Callable
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -22,7 +24,55 @@
         """Ignore broken connections: clients are killed by the tests."""
 
 
-def serve(route: Route, port: int = 0) -> _Server:
+class CuttableServer(_Server):
+    """A server to which connections hang without an error while it is cut off; open ones stay as they are.
+
+    The queue of connections that wait to be accepted is kept full meanwhile, so that the kernel answers no further one.
+    """
+
+    request_queue_size = 1
+    max_fillers = 8
+
+    def __init__(self, *args: Any) -> None:
+        super().__init__(*args)
+        self._is_open = threading.Event()
+        self._is_open.set()
+        self._fillers: list[socket.socket] = []
+        self._ended = False
+
+    def serve_forever(self, poll_interval: float = 0.05) -> None:
+        """Accept connections while not cut off."""
+        while not self._ended:
+            if not self._is_open.wait(poll_interval):
+                continue
+            if select.select([self.socket], [], [], poll_interval)[0] and self._is_open.is_set() and not self._ended:
+                self._handle_request_noblock()
+
+    def shutdown(self) -> None:
+        """Accept no more connections."""
+        self._ended = True
+
+    def cut(self) -> None:
+        """Let new connections hang from now on."""
+        self._is_open.clear()
+        for _ in range(self.max_fillers):
+            filler = socket.socket()
+            filler.settimeout(0.05)
+            self._fillers.append(filler)
+            try:
+                filler.connect(self.server_address)
+            except OSError:
+                return
+
+    def mend(self) -> None:
+        """Accept connections again."""
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        self._is_open.set()
+
+
+def serve(route: Route, port: int = 0, kind: type[_Server] = _Server) -> Any:
     """Serve on a loopback port in threads of its own, and return the server."""
 
     class Handler(BaseHTTPRequestHandler):
@@ -49,7 +99,7 @@
         def log_message(self, format: str, *args: Any) -> None:
             """Log nothing."""
 
-    server = _Server(("127.0.0.1", port), Handler)
+    server = kind(("127.0.0.1", port), Handler)
     threading.Thread(target=server.serve_forever, args=(0.2,), daemon=True).start()
     return server
 
