--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 from typing import Any
 
-from review.standin.cluster import ATS, Cluster, run_case
+from review.standin.cluster import VOCES_FLEET, Cluster, run_case
 from review.standin.machines import Machine
 
-NEAR, OTHER, FAR = "palermo-centro", "palermo-porto", "monreale"
+NEAR, OTHER, FAR = "xela-norte", "xela-sur", "antigua-uno"
 CUT_S = 6.6
 # when, after the beginning of the cut, the long task in the other zone completes, and the first service is cancelled
 OTHER_ENDS_S, SERVICE_CANCELLED_S = 4.6, 4.8
@@ -67,7 +67,7 @@
         """Start the deployment and fill it, but for 4 CPUs of one machine; return whether that worked."""
         cluster = self.cluster
         for zone in (NEAR, NEAR, OTHER, FAR):
-            cluster.cloud.add("media", zone)
+            cluster.cloud.add("ocho-nucleos", zone)
         cluster.cloud.max_machines = len(cluster.cloud.rows)
         service = {"shape": "service", "rank": "critical", "run_s": 600.0, "reckonS": 0.0}
         if not cluster.start_all(20.0):
@@ -133,4 +133,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(ATS, Path(__file__).with_name("record.txt"), case))
+    sys.exit(run_case(VOCES_FLEET, Path(__file__).with_name("record.txt"), case))
--- a/review/standin/cluster.py
+++ b/review/standin/cluster.py
@@ -61,6 +61,21 @@
     clock_off_ms=100.0,
     restart_s=6.0,
 )
+VOCES_FLEET = Site(
+    name="voces-altiplano-fleet",
+    zones=("xela-norte", "xela-sur", "antigua-uno"),
+    times=Times(2.5, 15.25, 40.25),
+    rps=250.0,
+    write_rps=60.0,
+    txn_ops=12,
+    cloud_rps=10.0,
+    list_lag_s=3.0,
+    kinds=(MachineType("ocho-nucleos", 8.0, 32.0),),
+    teams=tuple((f"equipo-tecnico-{number:02d}", 350.0, 1200.0) for number in range(12)),
+    max_sockets=2044,
+    clock_off_ms=100.0,
+    restart_s=6.0,
+)
 ATS = Site(
     name="ats-palermo",
     zones=("palermo-centro", "palermo-porto", "monreale"),
