--- a/review/standin/slow_return.py
+++ b/review/standin/slow_return.py
@@ -4,10 +4,8 @@
 
 import threading
 import time
-from typing import Any
 
 from review.standin.cluster import Cluster
-from review.standin.store import Treatment
 
 ZONE = "palermo-centro"
 VICTIM, OTHERS = "berth-0", ["berth-1", "berth-2"]
@@ -29,14 +27,14 @@
         self._cluster = cluster
         self._left = {"/kv?": FIRST_PAGE_LATE_S, "/multi": FIRST_TRANSACTION_LATE_S}
 
-    def __call__(self, name: str, method: str, path: str, body: Any) -> Treatment:
-        """Return the treatment of a request."""
+    def __call__(self, name: str, method: str, path: str) -> float:
+        """Return how late the answer to a request leaves."""
         for prefix in list(self._left):
             if name == VICTIM and path.startswith(prefix):
                 late_s = self._left.pop(prefix)
                 self._cluster.note(f"state service: the answer to {method} {path} of {name} leaves {late_s} s late")
-                return Treatment(slow_s=late_s)
-        return Treatment()
+                return late_s
+        return 0.0
 
 
 def start(cluster: Cluster) -> bool:
@@ -65,7 +63,7 @@
     if trouble:
         cluster.kill(VICTIM)
         time.sleep(AWAY_S)
-        cluster.store.treat = SlowAnswers(cluster)
+        cluster.store.answer_late_s = SlowAnswers(cluster)
         cluster.start(VICTIM)
     threads = []
     for number, job in enumerate(jobs):
