Log what tells a start that was never sent from one under way, and each full read of the cache

Added: which starts a direct request named when it got no answer or no connection, the session and sequence of the report by which an absent task has ended (debug), and the revision of each full read beside that of the cache before.

--- a/tidebend/controller/records/completion_tracker.py
+++ b/tidebend/controller/records/completion_tracker.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from collections.abc import Callable
 
@@ -23,6 +24,8 @@
 from tidebend.quota import QuotaAmountLike, TeamUsage
 from tidebend.settings import Settings
 
+log = logging.getLogger("completions")
+
 
 class CompletionTracker:
     """The unrecorded completions in this controller's shards, and what the scheduler derives from task outcomes.
@@ -144,6 +147,10 @@
             if task is None:
                 if self._cannot_run_anymore(machine, job, key):
                     ended |= 1 << index
+                    log.debug(
+                        "machine %s: task %s/%d, attempt %d, has ended: not in report %d.%d, and can't start any more",
+                        *(machine.name, *key, machine.session, machine.sequence),
+                    )
             elif task.state == "ended":
                 ended |= 1 << index
                 if task.why == "done":
--- a/tidebend/controller/workers/command_dispatcher.py
+++ b/tidebend/controller/workers/command_dispatcher.py
@@ -197,11 +197,14 @@
         path, body = protocol.direct_commands(request.token, request.session, request.commands)
         try:
             status, answer = client.request("POST", path, body, self._timeout_s)
-        except UnreachableError:
+        except UnreachableError as error:
+            starts = sorted(request.starts)
+            log.info("machine %s: direct commands not sent, with the starts %s: %s", name, starts, error)
             self._settle_starts(name, request)
             return
         except NoAnswerError as error:
-            log.info("no answer to direct commands from machine %s: %s", name, error)
+            starts = sorted(request.starts)
+            log.info("machine %s: no answer to direct commands, with the starts %s: %s", name, starts, error)
             return  # they may still be executed: the outcome of the starts stays unknown
         if status not in (200, 409):
             log.error("machine %s answered direct commands with unexpected status %s", name, status)
--- a/tidebend/kvclient/watch_cache.py
+++ b/tidebend/kvclient/watch_cache.py
@@ -155,6 +155,7 @@
         """Replace the content of the cache with a snapshot."""
         snapshot = read_snapshot(self.client)
         with self.lock:
+            log.info("loaded all live keys as of revision %d; had revision %d", snapshot.revision, self._revision)
             self.apply(self._changes_to(snapshot))
             self._revision = max(self._revision, snapshot.revision)
         self.loaded.set()
