Keep a start uncertain while an earlier request with it is under way

Cause: StartTracker had one entry for each task. A later direct request replaced the entry of an earlier one, its token too, and when the later one found no connection, its end, which is certain, removed the entry. The earlier one was still held by the network. So a task whose absence a late report showed was taken as one that can't start any more.

Change: open requests are counted by task and token. A request that was certainly not executed takes back itself alone; an executed one whose answer lists the attempt settles all; otherwise a confirmed higher token does. A new session has a tracker of its own, so that a late outcome of a request to the former session touches nothing in it.

Its like, mended with it since it is the same entry: requests to a former session; an entry with a former token that one with a new token replaced; repeats that deferred the new token, since each replaced the time of the first.

Why it works: nothing removes an uncertain start any more but what rules out every request with it.

--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -16,7 +16,6 @@
 from tidebend.cluster_state.machine import Machine
 from tidebend.cluster_state.reconciliation import commands_for
 from tidebend.cluster_state.record_chunks import ChunkIndex
-from tidebend.cluster_state.start_tracking import StartTracker, UncertainStart
 from tidebend.controller.autoscaling.leadership import Leadership
 from tidebend.controller.autoscaling.tracked_machines import FleetView
 from tidebend.controller.records.job_writer import JobEdit
@@ -259,15 +258,11 @@
 
 
 def test_nothing_is_cleared_while_a_late_start_could_run_it_again():
-    ended = {("req-a", 0, 1): TaskReport("req-a", 0, 1, "ended", "done", False)}
-    assert ops(machine_with(tasks=dict(ended)), []) == ["forget"]
-    assert (
-        ops(
-            machine_with(tasks=dict(ended), starts=StartTracker(uncertain={("req-a", 0, 1): UncertainStart(5, 0.0)})),
-            [],
-        )
-        == []
-    )
+    key = ("req-a", 0, 1)
+    machine = machine_with(tasks={key: TaskReport(*key, "ended", "done", False)})
+    assert ops(machine, []) == ["forget"]
+    machine.starts.record_direct_start(key, 5, 0.0)
+    assert ops(machine, []) == []
 
 
 # Large records
--- a/tidebend/cluster_state/machine.py
+++ b/tidebend/cluster_state/machine.py
@@ -66,7 +66,7 @@
         return True
 
     def _begin_session(self) -> None:
-        self.starts.begin_session()
+        self.starts = StartTracker()  # in a new session the worker executes no command sent to an earlier one
         self.answered_token = 0
         self.stop_requests.clear()
         self.running_since.clear()
--- a/tidebend/cluster_state/start_tracking.py
+++ b/tidebend/cluster_state/start_tracking.py
@@ -3,61 +3,83 @@
 A start command is sent in one of two ways. In the answer to a heartbeat, it is executed before the worker sends its
 next heartbeat, or never. As a direct command, it may be delayed for any time and may be executed twice; only a higher
 fencing token that the worker has confirmed rules this out.
+
+The same start may be under way in several direct requests at a time. That one of them was certainly not executed says
+nothing about the others.
 """
 
 from __future__ import annotations
 
 from collections.abc import Container
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
 from tidebend.cluster_state.keys import TaskKey
 
 
-class UncertainStart(NamedTuple):
-    """A direct start command whose outcome is unknown."""
+@dataclass
+class UncertainStarts:
+    """The direct requests with the start of one task and one fencing token whose outcome is unknown."""
 
-    token: int  # the fencing token that it carried
-    sent_at: float  # monotonic time in seconds
+    first_sent_at: float  # monotonic time in seconds
+    requests: int = 0  # number of requests that were executed, may be executed later, or never will be
 
 
 @dataclass
 class StartTracker:
-    """The start commands sent to the current session of one worker. Guarded by the machine registry's lock."""
+    """The start commands sent to one session of a worker. Guarded by the machine registry's lock."""
 
     # starts sent in answers to heartbeats -> sequence number of the heartbeat
     in_answers: dict[TaskKey, int] = field(default_factory=dict)
-    # direct starts whose outcome is unknown
-    uncertain: dict[TaskKey, UncertainStart] = field(default_factory=dict)
+    # direct starts whose outcome is unknown, by fencing token
+    uncertain: dict[TaskKey, dict[int, UncertainStarts]] = field(default_factory=dict)
     # direct starts of any outcome -> fencing token
     direct_tokens: dict[TaskKey, int] = field(default_factory=dict)
 
-    def begin_session(self) -> None:
-        """Forget all starts: in a new session the worker executes no command that was sent to an earlier one."""
-        self.in_answers.clear()
-        self.uncertain.clear()
-        self.direct_tokens.clear()
-
     def record_start_in_answer(self, key: TaskKey, report_sequence: int) -> None:
         """Track a start that is sent in the answer to the heartbeat with this sequence number."""
         self.in_answers[key] = report_sequence
 
     def record_direct_start(self, key: TaskKey, token: int, now: float) -> None:
-        """Track a start that is about to be sent directly, with this fencing token."""
-        self.uncertain[key] = UncertainStart(token, now)
-        self.direct_tokens[key] = token
-
-    def resolve_direct_start(self, key: TaskKey, token: int) -> None:
-        """Mark the outcome of the direct start with this fencing token as known: executed, or never to be executed."""
-        start = self.uncertain.get(key)
-        if start is not None and start.token == token:
+        """Track a start that is about to be sent in a direct request with this fencing token."""
+        starts = self.uncertain.setdefault(key, {}).setdefault(token, UncertainStarts(now))
+        starts.requests += 1
+        self.direct_tokens[key] = max(token, self.direct_tokens.get(key, 0))
+
+    def withdraw_direct_start(self, key: TaskKey, token: int) -> None:
+        """Drop one direct request with this start and fencing token, which certainly wasn't and won't be executed."""
+        by_token = self.uncertain.get(key, {})
+        starts = by_token.get(token)
+        if starts is None:
+            return  # the outcome became known in another way
+        starts.requests -= 1
+        if not starts.requests:
+            del by_token[token]
+        if not by_token:
             del self.uncertain[key]
 
+    def resolve_direct_starts(self, key: TaskKey) -> None:
+        """Drop all direct requests with this start: the worker knows the attempt, so that another start has no effect.
+
+        That holds until the worker is told to forget the attempt, see `may_be_repeated`.
+        """
+        self.uncertain.pop(key, None)
+
     def confirm_token(self, token: int) -> None:
         """Drop uncertain direct starts with a lower token: the worker has confirmed this one and refuses them."""
-        refused = [key for key, start in self.uncertain.items() if start.token < token]
-        for key in refused:
-            del self.uncertain[key]
+        for key, by_token in list(self.uncertain.items()):
+            refused = [sent_token for sent_token in by_token if sent_token < token]
+            for sent_token in refused:
+                del by_token[sent_token]
+            if not by_token:
+                del self.uncertain[key]
+
+    def has_uncertain_start(self, lowest_token: int, sent_before: float) -> bool:
+        """Whether a direct start sent before a monotonic time, with at least this token, has an unknown outcome."""
+        return any(
+            token >= lowest_token and starts.first_sent_at < sent_before
+            for by_token in self.uncertain.values()
+            for token, starts in by_token.items()
+        )
 
     def may_still_execute(self, key: TaskKey, report_sequence: int) -> bool:
         """Whether a start of a task that the worker doesn't report may still be executed.
--- a/tidebend/controller/records/uncertain_starts.py
+++ b/tidebend/controller/records/uncertain_starts.py
@@ -49,11 +49,8 @@
 
     def _has_uncertain_starts(self, grant: ShardGrant, now: float) -> bool:
         """Whether a start with the present token has had no known outcome for more than a report interval."""
-        return any(
-            token >= grant.token and now - sent_at > self._settings.report_s
-            for machine in self._machines_in(grant)
-            for token, sent_at in machine.starts.uncertain.values()
-        )
+        sent_before = now - self._settings.report_s
+        return any(machine.starts.has_uncertain_start(grant.token, sent_before) for machine in self._machines_in(grant))
 
     def _keeps_ended_tasks_too_long(self, grant: ShardGrant, now: float) -> bool:
         """Whether a machine has kept ended tasks for too long, because their starts may be repeated."""
--- a/tidebend/controller/workers/command_dispatcher.py
+++ b/tidebend/controller/workers/command_dispatcher.py
@@ -9,18 +9,21 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable
+from http import HTTPStatus
 from typing import Any, NamedTuple
 
 from tidebend import protocol
 from tidebend.cluster_state.job_cache import JobCache
+from tidebend.cluster_state.keys import TaskKey
 from tidebend.cluster_state.machine import Machine
 from tidebend.cluster_state.machine_registry import MachineRegistry
 from tidebend.cluster_state.reconciliation import commands_for, stop_commands_for_cancelled
+from tidebend.cluster_state.start_tracking import StartTracker
 from tidebend.controller import connection_limits
 from tidebend.controller.workers.heartbeats import MAX_COMMANDS
 from tidebend.controller.workers.peer_machines import machines_of
 from tidebend.coordination import Coordinator, PeerExchange, ShardGrant, shard_of
-from tidebend.protocol import Command, InvalidMessageError
+from tidebend.protocol import Command, InvalidMessageError, Report
 from tidebend.settings import Settings
 from tidebend.threads import start_daemon
 from tidebend.transport import HttpClient, NoAnswerError, UnreachableError
@@ -48,10 +51,11 @@
     token: int
     session: int
     commands: list[Command]
+    tracker: StartTracker  # of the session, in which the starts among the commands are tracked
 
     @property
-    def starts(self) -> set[tuple[str, int, int]]:
-        """Job, index and attempt of each task to be started."""
+    def starts(self) -> set[TaskKey]:
+        """The tasks to be started."""
         return {(command.job, command.index, command.attempt) for command in self.commands if command.op == "start"}
 
 
@@ -172,15 +176,15 @@
             machine = self._machine_registry.machines.get(target.machine)
             if machine is None:
                 commands: list[Command] = []
-                session, knows_token = target.session, False
+                session, tracker, knows_token = target.session, StartTracker(), False
             else:
                 commands = self._commands(machine, grant.token, lease_valid)
-                session = machine.session
+                session, tracker = machine.session, machine.starts
                 knows_token = machine.token >= grant.token and not self._is_unresponsive(machine.last_heartbeat)
         # without a valid lease only stops of cancelled tasks are sent; a request for the token alone isn't
         if not commands and (not lease_valid or knows_token):
             return None
-        return _Request(grant.token, session, commands)
+        return _Request(grant.token, session, commands, tracker)
 
     def _commands(self, machine: Machine, token: int, lease_valid: bool) -> list[Command]:
         """Return the commands for a machine; called under the machine registry's lock."""
@@ -200,18 +204,18 @@
         except UnreachableError as error:
             starts = sorted(request.starts)
             log.info("machine %s: direct commands not sent, with the starts %s: %s", name, starts, error)
-            self._settle_starts(name, request)
+            self._withdraw_starts(name, request)
             return
         except NoAnswerError as error:
             starts = sorted(request.starts)
             log.info("machine %s: no answer to direct commands, with the starts %s: %s", name, starts, error)
             return  # they may still be executed: the outcome of the starts stays unknown
-        if status not in (200, 409):
+        if status not in (HTTPStatus.OK, HTTPStatus.CONFLICT):
             log.error("machine %s answered direct commands with unexpected status %s", name, status)
             return
-        self._record_answer(name, request, answer)
+        self._record_answer(name, request, answer, was_executed=status == HTTPStatus.OK)
 
-    def _record_answer(self, name: str, request: _Request, answer: Any) -> None:
+    def _record_answer(self, name: str, request: _Request, answer: Any, was_executed: bool) -> None:
         try:
             report = protocol.parse_report(answer)
         except InvalidMessageError as error:
@@ -219,15 +223,25 @@
             return
         with self._machine_registry.lock:
             machine = self._machine_registry.record_heartbeat(report, direct=True)
-        self._settle_starts(name, request)
+        if was_executed:
+            self._resolve_starts(request, report)
+        else:
+            self._withdraw_starts(name, request)
         if machine is not None:
             self._wake_scheduler()
 
-    def _settle_starts(self, name: str, request: _Request) -> None:
-        """Record that the outcome of a request's starts is known: they were executed or never will be."""
+    def _resolve_starts(self, request: _Request, report: Report) -> None:
+        """Record that the worker knows the attempts that an executed request has started."""
+        reported = {(task.job, task.index, task.attempt) for task in report.tasks}
+        with self._machine_registry.lock:
+            for key in request.starts & reported:
+                request.tracker.resolve_direct_starts(key)
+
+    def _withdraw_starts(self, name: str, request: _Request) -> None:
+        """Record that a request wasn't and won't be executed; earlier ones with the same starts still may be."""
         with self._machine_registry.lock:
-            machine = self._machine_registry.machines.get(name)
-            if machine is None:
-                return
             for key in request.starts:
-                machine.starts.resolve_direct_start(key, request.token)
+                request.tracker.withdraw_direct_start(key, request.token)
+            uncertain = sorted(request.starts & request.tracker.uncertain.keys())
+        if uncertain:
+            log.info("machine %s: earlier direct starts may still be executed: %s", name, uncertain)
