Don't apply answers of the key-value store that are older than the cache

Cause: at a start the watch and a read barrier may load all keys at the same time.

Evidence: 'loaded all live keys as of revision 51; had revision 57' at that controller, and the four jobs that it called queued were deleted between these revisions.

Changes are applied from the cache's revision on, as the answers to writes were already. Why it works: the cache contains all changes up to its revision, so whatever is older is in it or has been replaced.

--- a/tidebend/kvclient/watch_cache.py
+++ b/tidebend/kvclient/watch_cache.py
@@ -91,6 +91,15 @@
                     self._on_change(key, value, version)
             self._tombstones.prune()
 
+    def _apply_newer(self, rows: Iterable[Row]) -> None:
+        """Apply the changes that the cache doesn't contain by its revision; called under the lock.
+
+        Other threads' reads may have overtaken the answer with these rows. Rows up to the cache's revision are then
+        outdated, and there isn't a tombstone for each key that has been deleted since: a snapshot contains no
+        deletions, so it leaves none for keys that weren't cached.
+        """
+        self.apply([row for row in rows if row[2] > self._revision])
+
     def _update_item(self, key: str, value: Any, version: int) -> bool:
         """Apply one change, under the lock; return False if it isn't newer than the cached version."""
         if version <= self._items.get(key, ABSENT).version or version <= self._tombstones.version(key):
@@ -126,11 +135,7 @@
         with self._pending_request():
             revision = self.client.transact(conditions, writes, kind, retry_for_s)
             with self.lock:
-                # A read may have overtaken this answer; then the cache already contains these writes and what followed
-                # them. Since a snapshot contains no deletions, applying them again would permanently restore the record
-                # of a job that has ended and been deleted in between.
-                if revision > self._revision:
-                    self.apply([(key, value, revision) for key, value, _ in writes])
+                self._apply_newer((key, value, revision) for key, value, _ in writes)
         return revision
 
     def catch_up(self, wait_s: float, kind: str) -> None:
@@ -146,18 +151,24 @@
             else:
                 rows, newest = result
                 with self.lock:
-                    self.apply(rows)
+                    self._apply_newer(rows)
                     self._revision = max(self._revision, newest)
         with self.lock:
             self.as_of = max(self.as_of, began)
 
     def _load(self) -> None:
-        """Replace the content of the cache with a snapshot."""
+        """Read all live keys, and make them the content of the cache unless that is newer by now.
+
+        Several threads may load at the same time, and the snapshots may arrive in any order.
+        """
         snapshot = read_snapshot(self.client)
         with self.lock:
             log.info("loaded all live keys as of revision %d; had revision %d", snapshot.revision, self._revision)
-            self.apply(self._changes_to(snapshot))
-            self._revision = max(self._revision, snapshot.revision)
+            if snapshot.revision >= self._revision:
+                self.apply(self._changes_to(snapshot))
+                self._revision = snapshot.revision
+            else:
+                self.apply(snapshot.finals)
         self.loaded.set()
 
     def _changes_to(self, snapshot: Snapshot) -> list[Row]:
