Write edits that fail again and again after all others, and pause their claims

Cause: a call of write_edits gives up after four failed transactions, and made the same edits again in the same order, three writes at least together. Edits that conflict each time were always the first, and those that shared their transaction or came behind were never written. The planner gave such jobs their room in each event as well.

Change: FailedEdits counts failed transactions in a row by job, across calls. From the second on a job's edits come last, each alone, and no claim of it is planned for a quarter of a report interval, doubled with each failure up to eight. An edit that is dropped because its own condition failed isn't counted. Why it works: whatever fails again and again shares no transaction with other edits, comes after them, and takes no room while it pauses; a normal conflict changes nothing.

--- a/tidebend/controller/records/edit_batches.py
+++ b/tidebend/controller/records/edit_batches.py
@@ -46,9 +46,19 @@
     # (team, zone) -> resources allocated minus resources of ended tasks
     usage_changes: dict[tuple[str, str], QuotaAmountLike] = field(default_factory=dict)
     jobs: dict[str, Job] = field(default_factory=dict)  # by id, after the transaction
-    edits: list[JobEdit] = field(default_factory=list)
+    prepared: list[PreparedEdit] = field(default_factory=list)
     size_bytes: int = 0
 
+    @property
+    def edits(self) -> list[JobEdit]:
+        """The edits of the batch, in their order."""
+        return [prepared.edit for prepared in self.prepared]
+
+    def edits_with_conditions_on(self, keys: set[str]) -> list[JobEdit]:
+        """Return the edits that are conditional on any of these keys; all edits if none is."""
+        found = [prepared.edit for prepared in self.prepared if keys & prepared.conditions.keys()]
+        return found or self.edits
+
     def has_room_for(self, prepared: PreparedEdit, max_writes: int, max_conditions: int) -> bool:
         """Whether an edit can join the batch; any edit can join an empty one.
 
@@ -77,7 +87,7 @@
             total = self.usage_changes.get((prepared.team, zone), (0.0, 0.0))
             self.usage_changes[prepared.team, zone] = (total[0] + cpus, total[1] + gpus)
         self.jobs[prepared.edit.job_id] = transaction.job
-        self.edits.append(prepared.edit)
+        self.prepared.append(prepared)
         self.size_bytes += transaction.size_bytes
 
 
--- a/tidebend/controller/records/job_writer.py
+++ b/tidebend/controller/records/job_writer.py
@@ -10,6 +10,7 @@
 from tidebend.cluster_state.job_records import Job
 from tidebend.controller.quota.quota_rebalancing import QuotaRebalancer
 from tidebend.controller.records.edit_batches import EditBatch, EditBatchBuilder
+from tidebend.controller.records.failed_edits import FailedEdits
 from tidebend.controller.records.job_edit import ApplyEdit, JobEdit
 from tidebend.controller.records.record_limits import RecordLimits
 from tidebend.controller.records.record_splitter import RecordSplitter
@@ -39,11 +40,17 @@
     """The state of one call of `write_edits`."""
 
     remaining: list[JobEdit]
+    deferred: list[JobEdit]  # each is written alone, after all the others
     failures_left: int
     max_writes: int
     to_be_split: list[JobEdit] = field(default_factory=list)
     changed: dict[str, Job] = field(default_factory=dict)
 
+    def take_deferred(self) -> None:
+        """Continue with the next deferred edit if no others remain."""
+        if not self.remaining and self.deferred:
+            self.remaining = [self.deferred.pop(0)]
+
 
 def _log_final_states(batch: EditBatch, revision: int) -> None:
     """Log the jobs that a transaction has ended, with the version of the record on which that was based."""
@@ -71,6 +78,7 @@
         transaction_builder = TransactionBuilder(job_cache, quota_rebalancer.schema_version, record_limits)
         self._batch_builder = EditBatchBuilder(job_cache, quota_rebalancer, record_limits, transaction_builder)
         self._record_splitter = RecordSplitter(cache, job_cache, record_limits)
+        self.failed_edits = FailedEdits(job_cache, quota_rebalancer.settings.report_s)
 
     @property
     def writes_per_s(self) -> float:
@@ -93,14 +101,19 @@
 
         An edit isn't written if there is nothing to write, if one of its own conditions fails, if its allocations
         exceed the team's quota, or if `max_failures` transactions have failed. A team's record is changed in the same
-        transaction by exactly what its jobs' allocations add. Each write is retried for `retry_for_s`.
+        transaction by exactly what its jobs' allocations add. Each write is retried for `retry_for_s`. Edits of jobs
+        whose transactions fail again and again come last.
 
         Raises `NotExecutedError` or `OutcomeUnknownError`; edits before the failed transaction may have been written.
         After `OutcomeUnknownError` the cache reflects a later read, unless that has failed too.
         """
         self.quota_rebalancer.settle_uncertain_writes(retry_for_s)
-        progress = _Progress(list(edits), max_failures, self.record_limits.max_writes)
-        while progress.remaining and progress.failures_left:
+        first, deferred = self.failed_edits.split(edits)
+        progress = _Progress(first, deferred, max_failures, self.record_limits.max_writes)
+        while progress.failures_left:
+            progress.take_deferred()
+            if not progress.remaining:
+                break
             built = self._batch_builder.build(progress.remaining, progress.max_writes)
             progress.remaining = built.remaining
             progress.to_be_split += built.to_be_split
@@ -126,6 +139,7 @@
             raise NotExecutedError("a lease in the transaction does not exist") from error
         else:
             progress.changed.update(batch.jobs)
+            self.failed_edits.record_success(batch.jobs)
             _log_final_states(batch, revision)
 
     def _retry_after_conflict(self, batch: EditBatch, progress: _Progress, conflict: ConflictError) -> None:
@@ -136,23 +150,31 @@
         log.debug("transaction failed because of a conflict: %s", conflict)
         progress.failures_left -= 1
         failed_keys = set(conflict.keys)
-        retried = [edit for edit in batch.edits if not failed_keys & set(edit.conditions)]
-        progress.remaining = retried + progress.remaining
+        failed = batch.edits_with_conditions_on(failed_keys)
+        dropped = [edit for edit in failed if failed_keys & edit.conditions.keys()]
+        self.failed_edits.record_failure(edit for edit in failed if edit not in dropped)
+        self._retry_first([edit for edit in batch.edits if edit not in dropped], progress)
         progress.max_writes = max(MIN_WRITES_AFTER_CONFLICT, progress.max_writes // 2)
-        if progress.remaining and not self.cache.barrier(self.cache.client.timeout, "claim"):
+        if (progress.remaining or progress.deferred) and not self.cache.barrier(self.cache.client.timeout, "claim"):
             raise NotExecutedError("the read after a conflict failed") from conflict
 
-    @staticmethod
-    def _retry_one_by_one(batch: EditBatch, progress: _Progress) -> None:
+    def _retry_one_by_one(self, batch: EditBatch, progress: _Progress) -> None:
         """Write each edit in its own transaction after the key-value store rejected a transaction for its size.
 
         The store then accepts less than its announced limits. An edit that is too large on its own isn't written now.
         """
         progress.failures_left -= 1
+        self.failed_edits.record_failure(batch.edits)
         if len(batch.edits) > 1:
-            progress.remaining = batch.edits + progress.remaining
+            self._retry_first(batch.edits, progress)
             progress.max_writes = 1
 
+    def _retry_first(self, edits: list[JobEdit], progress: _Progress) -> None:
+        """Put edits of a failed transaction before the remaining ones, except those that are deferred by now."""
+        first, deferred = self.failed_edits.split(edits)
+        progress.remaining = first + progress.remaining
+        progress.deferred += deferred
+
     def _write_split_jobs(self, progress: _Progress, retry_for_s: float) -> None:
         """Split the records that have become too large, then write the edits of their jobs."""
         for edit in progress.to_be_split:
--- a/tidebend/controller/scheduler/scheduling_loop.py
+++ b/tidebend/controller/scheduler/scheduling_loop.py
@@ -81,6 +81,7 @@
             settings, coordinator, job_cache, machine_registry, machine_types, self.estimates, self.completions
         )
         self.claim_stagger = ClaimStagger(settings)
+        self._failed_edits = job_writer.failed_edits
         self.allocator = Allocator(settings, coordinator, job_writer, self.completions, self.pending_jobs, send)
         self.quota_releaser = QuotaReleaser(settings, job_cache, quota_rebalancer, self.completions)
         self.preemptor = Preemptor(settings, coordinator, job_cache, machine_registry, self.claim_stagger, send)
@@ -188,13 +189,18 @@
     def _requests(
         self, jobs: Iterable[Job], machines: Collection[ScheduledMachine], now: float, wall_time: float
     ) -> list[TaskRequest]:
-        """Return the requests of pending jobs, none of which starts before this controller may claim it."""
+        """Return the requests of pending jobs, none of which starts before this controller may claim it.
+
+        Jobs whose claims failed repeatedly are left out during their backoff.
+        """
         candidates_by_image = _candidates_by_image(machines)
         shards = sorted(self.coordinator.holders())
         held_shards = {shard_of(scheduled.candidate.zone) for scheduled in machines}
         held_zones = self.coordinator.held_zones()
         requests = []
         for job in jobs:
+            if self._failed_edits.is_backing_off(job.id, now):
+                continue
             request = self.pending_jobs.request(job, now, wall_time, held_zones)
             if request is None:
                 continue
