Establish the zone quotas of each team, whatever another team's write conflicts with

What callers would see: a team whose limit isn't divided yet, or not raised to its usage, waits for other controllers' records.

Cause: establish_quotas ended at the first team whose write conflicted; the caller dropped the conflict, and the next event began with the same team.

Change: a conflict concerns its team alone and is logged. Why it works: the teams' records are independent of each other. The new test in tests/test_failed_edits.py fails on the code before (ConflictError at the first team).

--- a/tests/test_failed_edits.py
+++ b/tests/test_failed_edits.py
@@ -5,12 +5,13 @@
 import pytest
 
 from simulation.world import TICK
-from tests.test_guards import spec, stale_controllers, started_world
+from tests.test_guards import TEAMS, spec, stale_controllers, started_world
 from tests.test_scenarios import JOB
 from tests.test_starts import ask
 from tidebend.cluster_state.allocations import Allocation
 from tidebend.cluster_state.job_records import JOB_PREFIX, Job
 from tidebend.controller.records.job_writer import JobEdit
+from tidebend.quota import QUOTA_PREFIX
 
 LONGEST_WAIT_S = 90.0  # of a job beside a machine with room
 NEVER_STORED = 10**9  # a version that the store's revisions don't reach
@@ -96,3 +97,17 @@
         if controller.job_cache.get(job["id"]) is None or controller.job_cache.get(job["id"]).allocations:
             return
     raise AssertionError("the job didn't start")
+
+
+def test_a_conflict_over_one_teams_quotas_keeps_no_other_teams_from_being_written():
+    """Guards against teams without zone quotas, as each call ended at the first team whose write conflicted."""
+    teams = [{**TEAMS[0], "name": name} for name in ("first", "second")]
+    for world in started_world(teams):
+        controller = world.controllers["n0"]
+        for name in ("first", "second"):
+            key = QUOTA_PREFIX + name
+            world.state.transact({"if": [], "writes": [{"delete": key}]})
+            controller.cache.apply([(key, None, NEVER_STORED)])
+        world.state.transact({"if": [], "writes": [{"put": QUOTA_PREFIX + "first", "v": {}}]})
+        controller.quota_rebalancer.establish_quotas()
+        assert controller.job_cache.has_zone_quotas("second")
--- a/tidebend/controller/quota/quota_rebalancing.py
+++ b/tidebend/controller/quota/quota_rebalancing.py
@@ -133,30 +133,38 @@
 
         Teams without a limit get zone quotas too: their allocations are then conditional on a record that never
         changes, while on the common record of a team with many small jobs, holders would conflict needlessly.
-        Raises `ConflictError` and the other errors of `WatchCache.write`.
+        A team whose write conflicts is left to the next call. Raises the errors of `WatchCache.write` except
+        `ConflictError`.
         """
         if not self.schema_version.supports_pipelines:
             return
         for team in self.settings.teams.values():
-            if self.job_cache.has_zone_quotas(team.name):
-                if team.cpus_max is not None or team.gpus_max is not None:
-                    self._raise_to_usage(team)
-                continue
-            with self.job_cache.lock:
-                usage = self.job_cache.team(team.name)
-                used = self._used_by_zone(team.name)
-            self.cache.write(
-                {
-                    TEAM_PREFIX + team.name: usage.version,
-                    QUOTA_PREFIX + team.name: 0,
-                    SCHEMA_VERSION_KEY: self.cache.get(SCHEMA_VERSION_KEY)[1],
-                },
-                [
-                    (TEAM_PREFIX + team.name, EXHAUSTED_CHARGE, None),
-                    (QUOTA_PREFIX + team.name, ZoneQuotas(0, used).pack(), None),
-                ],
-            )
-            log.info("team %s: limit is now divided into zone quotas", team.name)
+            try:
+                self._establish_quotas_of(team)
+            except ConflictError as conflict:
+                log.info("team %s: zone quotas not written because of a conflict: %s", team.name, conflict)
+
+    def _establish_quotas_of(self, team: Team) -> None:
+        """Write a team's first zone quotas, or raise those that it has to its usage."""
+        if self.job_cache.has_zone_quotas(team.name):
+            if team.cpus_max is not None or team.gpus_max is not None:
+                self._raise_to_usage(team)
+            return
+        with self.job_cache.lock:
+            usage = self.job_cache.team(team.name)
+            used = self._used_by_zone(team.name)
+        self.cache.write(
+            {
+                TEAM_PREFIX + team.name: usage.version,
+                QUOTA_PREFIX + team.name: 0,
+                SCHEMA_VERSION_KEY: self.cache.get(SCHEMA_VERSION_KEY)[1],
+            },
+            [
+                (TEAM_PREFIX + team.name, EXHAUSTED_CHARGE, None),
+                (QUOTA_PREFIX + team.name, ZoneQuotas(0, used).pack(), None),
+            ],
+        )
+        log.info("team %s: limit is now divided into zone quotas", team.name)
 
     def _raise_to_usage(self, limit: Team) -> None:
         """Raise quotas that are below the usage; only allocations made under another limit can have exceeded them.
--- a/tidebend/controller/scheduler/scheduling_loop.py
+++ b/tidebend/controller/scheduler/scheduling_loop.py
@@ -27,7 +27,7 @@
 from tidebend.controller.scheduler.run_time_estimates import RunTimeEstimates
 from tidebend.controller.scheduler.staggered_claims import ClaimStagger, shard_order
 from tidebend.coordination import Coordinator, shard_of, zone_of
-from tidebend.kvclient import ConflictError, NotExecutedError, OutcomeUnknownError
+from tidebend.kvclient import NotExecutedError, OutcomeUnknownError
 from tidebend.protocol import MachineType
 from tidebend.scheduling import CandidateMachine, Placement, TaskRequest, allowed_on, fits, map_tasks, need_of
 from tidebend.settings import Settings
@@ -126,8 +126,7 @@
         self.completions.collect()
         self._seal_cancellations()
         if self.coordinator.term is not None:
-            with contextlib.suppress(ConflictError):
-                self.quota_rebalancer.establish_quotas()
+            self.quota_rebalancer.establish_quotas()
         try:
             began = time.monotonic()
             if began >= self._planning_paused_until:
