--- a/tests/test_failed_edits.py
+++ b/tests/test_failed_edits.py
@@ -56,6 +56,7 @@
 
 
 def test_a_conflict_that_names_no_key_keeps_no_claim_from_being_written(world, monkeypatch):
+    """Guards against claims that are never written beside a conflicting one that can't be told from them."""
     controller, _ = stale_controllers(world, b=spec(vcpus=1.0))
     cache_conflicting_jobs(controller, CONFLICTING[:1], spec(vcpus=1.0))
     transact = world.state.transact
--- a/tests/test_uncertain_starts.py
+++ b/tests/test_uncertain_starts.py
@@ -109,6 +109,7 @@
 
 
 def test_a_start_that_could_not_be_sent_at_all_is_ruled_out_at_once(world):
+    """Guards against tasks that wait for a new token though no request with their start was ever sent."""
     holder = Holder(world)
     holder.send(UnreachableError("refused"), UnreachableError("refused"))
     assert holder.machine.can_no_longer_start(KEY)
--- a/tests/test_watch_cache.py
+++ b/tests/test_watch_cache.py
@@ -79,6 +79,7 @@
 
 
 def test_a_newer_snapshot_is_applied_after_an_older_one():
+    """Guards against a cache that keeps its first load when another one follows."""
     store = OvertakenStore()
     store.read(NEW_PAGE, OLD_PAGE)
     assert set(store.cache.get_by_prefix(LIVE)) == {KEPT}
