Log which record a final answer goes by, on polls too, and as of which revision a shard is acquired

The incident's records left open which version answered the first poll that said done, on what record, and what the new holder of the zone had read. Cancellations were logged when they were confirmed, polls never.

A process now logs the first time that it tells a user of a job's final state, with the version of the record that the answer goes by; a bounded set keeps it from logging each poll. The line of an acquired shard has the revision that the holder has read.

--- a/tidebend/controller/api/job_api.py
+++ b/tidebend/controller/api/job_api.py
@@ -11,6 +11,7 @@
 from tidebend.cluster_state.final_states import unpack_final
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import HEAD_PREFIX, JOB_PREFIX, Job
+from tidebend.controller.api.recent_jobs import RecentJobs
 from tidebend.controller.api.replies import RETRY_LATER, parse_body, unavailable_reply
 from tidebend.controller.records.cancellation_sealer import CancellationSealer
 from tidebend.controller.records.job_writer import JobWriter
@@ -39,6 +40,8 @@
 SUBMIT_RETRY_S = 0.3
 # limit on the size of the list of dependencies, as a fraction of the maximum size of a record
 MAX_DEPENDENCIES_SHARE = 0.35
+# number of jobs whose final state isn't logged again when users ask again
+MAX_LOGGED_ANSWERS = 10_000
 # final states of a job, as named on the wire
 FINAL_STATES = ("done", "withdrawn")
 
@@ -85,6 +88,7 @@
         self._wake_scheduler = wake_scheduler
         self._look_up_finals = look_up_finals
         self._read_timeout_s = min(MAX_READ_TIMEOUT_S, 2 * kv_client.timeout)
+        self._logged_answers = RecentJobs(MAX_LOGGED_ANSWERS)
 
     # Requests
 
@@ -112,9 +116,14 @@
         if not protocol.is_job_id(job_id):
             return _no_such_job()
         try:
-            return self.find(job_id) or _no_such_job()
+            answer = self.find(job_id)
         except (NotExecutedError, OutcomeUnknownError):
             return unavailable_reply("the key-value store can't be reached")
+        if answer is None:
+            return _no_such_job()
+        if _is_final(answer):
+            self._log_final_answer(job_id, answer)
+        return answer
 
     def cancel(self, job_id: str) -> Reply:
         """Cancel a job unless it has ended; 200 with its final state. Idempotent."""
@@ -129,13 +138,21 @@
             self._job_writer.write_edit(job_id, _cancelled_unless_done, conditions={})
             answer = self.find(job_id)
             if answer is not None and _is_final(answer):
-                log.info("job %s is %s as of revision %d", job_id, answer.body["tide"], self._cache.revision)
+                self._log_final_answer(job_id, answer)
                 self._wake_scheduler()
                 return answer
             return unavailable_reply("the request wasn't completed; try again")
         except (NotExecutedError, OutcomeUnknownError):
             return unavailable_reply("the key-value store can't be reached")
 
+    def _log_final_answer(self, job_id: str, answer: Reply) -> None:
+        """Log a final state when this process first tells a user of it, and the record that the answer goes by."""
+        if not self._logged_answers.add(job_id):
+            return
+        job = self._job_cache.get(job_id)
+        record = "its final record" if job is None else f"its record of revision {job.version}"
+        log.info("job %s is %s as of revision %d, by %s", job_id, answer.body["tide"], self._cache.revision, record)
+
     # Reads of a job's state
 
     def find(self, job_id: str) -> Reply | None:
--- a/tidebend/coordination/shard_holdings.py
+++ b/tidebend/coordination/shard_holdings.py
@@ -174,7 +174,9 @@
             ]
             self._held.update((grant.shard, grant) for grant in grants)
         for grant in grants:
-            log.info("shard %s acquired with token %s", grant.shard, grant.token)
+            log.info(
+                "shard %s acquired with token %s, as of revision %d", grant.shard, grant.token, self._cache.revision
+            )
             self._on_acquired(grant)
 
     def _held_since(self, shard: str, token: int, now: float) -> float:
