Don't let workers forget done tasks while a copy of their start may still be executed

What callers would see: a team above its limit (quota), or a task of a cancelled job on a machine later than cancel_s after the confirmation (ran_cancelled): a late copy of a start command that had been carried out and answered started its task once more, since the worker had been told to forget the attempt.

Machine.can_forget had an exception for tasks that are done: "started again, it would end at once". A start has no effect only while the worker knows the attempt or has a higher token; by the protocol a done task that is started again is on its machine from when it has its image until it exits. The room and the quota of the first run had been given to others by then. The class: a guard in one path and not in the other, for a reason that holds for ran_twice alone. The simulation ended such tasks without a trace, so that no search could see it.

Why this way. Forgetting waits for a higher token, for all ends alike. A cancellation that raises the token would not have helped a team at its limit, whose tasks are done and not cancelled. What it costs is longer reports until the token is raised, after eight leases; a machine that keeps more than 256 ended tasks gets its new token after half a lease, so that reports stay far below 64 KiB.

test_what_was_started_directly_... expected that a done task is forgotten at once: that was the fault. It now expects that it is kept until the higher token, and checks the whole set of commands after it.

--- a/simulation/search.py
+++ b/simulation/search.py
@@ -63,6 +63,8 @@
     "dueS": 120.0,
 }
 CALM_S = 150.0  # simulated time without troubles at the end
+REPEAT_DELAYS_S = (2.0, 20.0, 90.0, 180.0)  # upper bounds of the delays of copies of direct commands
+REPEATS_SHARE = 0.2  # share of the worlds with one of `REPEAT_COMBINATIONS`
 
 # Injects a failure; returns what it affects and its duration in seconds.
 Trouble = Callable[[World, random.Random], tuple[str, float]]
@@ -170,9 +172,16 @@
 
 
 def _repeats(world, rng):
-    seconds, late = rng.uniform(20.0, 60.0), rng.uniform(2.0, 20.0)
-    world.repeats.append((world.now + seconds, late))
-    return f"{late:.1f} s late", seconds + late
+    """Deliver up to three copies of each executed direct command, from at once to minutes later.
+
+    Short tasks keep the team at its limit meanwhile, so that a copy that starts one of them again exceeds it.
+    """
+    seconds = rng.uniform(20.0, 60.0)
+    short = {**JOB, "shape": "sweep", "cargo": "img-0", "pieces": 60, "run_s": 4.0, "reckonS": 4.0}
+    world.submit(f"req-short-{world.ticks}", **short)
+    delays = [rng.uniform(0.1, longest) for longest in rng.sample(REPEAT_DELAYS_S, rng.randint(1, 3))]
+    world.repeats += [(world.now + seconds, late_s) for late_s in delays]
+    return f"{', '.join(f'{late_s:.1f}' for late_s in delays)} s late", seconds + max(delays)
 
 
 def _failed_reads(world, rng):
@@ -345,6 +354,26 @@
 )
 
 
+# Copies of direct commands, together with what lets attempts end or be forgotten, or what changes holders meanwhile.
+REPEAT_COMBINATIONS = (
+    ("repeats", "crash", "cancelled now"),
+    ("repeats", "crash of all", "cancelled at the end"),
+    ("repeats", "cut", "cancelled now"),
+    ("repeats", "silence", "crash"),
+    ("repeats", "refused", "cancelled now"),
+    ("repeats", "held up", "crash"),
+    ("repeats", "outage", "late reports"),
+    ("repeats", "cancelled out of reach"),
+)
+
+
+def _draw_combination(seed: int, rng: random.Random) -> list[str]:
+    """Return the troubles of a seed's world."""
+    drawn = list(rng.choice(TROUBLE_COMBINATIONS) if rng.random() < 0.5 else rng.sample(sorted(TROUBLES), 2))
+    repeats_rng = random.Random(seed + 4)  # separate, so that the other worlds stay as they are
+    return list(repeats_rng.choice(REPEAT_COMBINATIONS)) if repeats_rng.random() < REPEATS_SHARE else drawn
+
+
 def _random_jobs(rng: random.Random) -> list[tuple[float, dict]]:
     """Return (seconds from the start, job) of all kinds; some depend on others, some fail on every machine."""
     jobs = []
@@ -445,8 +474,8 @@
         trouble_times.append(
             trouble_times[-1] + rng.choice((1.0, 0.5 * lease_s, 2.0 * lease_s)) * rng.uniform(0.05, 1.0)
         )
-    trouble_names = list(rng.choice(TROUBLE_COMBINATIONS) if rng.random() < 0.5 else rng.sample(sorted(TROUBLES), 2))
-    trouble_names = list(combination) or trouble_names
+    drawn_names = _draw_combination(seed, rng)
+    trouble_names = list(combination) or drawn_names
     trouble_names += rng.sample(sorted(TROUBLES), max(0, len(trouble_times) - len(trouble_names)))
     trouble_times += [trouble_times[-1] + rng.uniform(0.05, 0.5) * lease_s for _ in trouble_names[len(trouble_times) :]]
     cancels = sorted(
@@ -548,6 +577,18 @@
         yield
 
 
+@_fault
+def done_forgotten_at_once():
+    """Workers are told to forget done tasks while a copy of their start command may still be executed."""
+    original = Machine.can_forget
+
+    def can_forget(self, key):
+        return original(self, key) or (self.tasks[key].why == "done" and self.can_no_longer_start(key))
+
+    with mock.patch.object(Machine, "can_forget", can_forget):
+        yield
+
+
 @_fault
 def unread_answer():
     """Users are answered from the cache without a read barrier."""
--- a/simulation/workers.py
+++ b/simulation/workers.py
@@ -96,7 +96,10 @@
                     continue
                 self.images.add(spec["cargo"])
                 if key in self.world.completed:
-                    task.state, task.why = "ended", "done"  # the result of the earlier attempt is kept
+                    # the result of the earlier attempt is kept, so the task exits as soon as it has its image
+                    task.state = "running"
+                    self.event("on", key, task)
+                    self.finish(key, "done")
                     continue
                 task.state, task.since = "waiting" if spec["shape"] == "group" else "running", now
                 task.progress = self.world.saved.get(key, 0.0)
@@ -185,6 +188,8 @@
                 made = Task(attempt, "fetching", self.world.now, self.world.now)
                 if spec is None:
                     made.state, made.why = "ended", "no_such"
+                elif self.world.refuses_start(key):
+                    made.state, made.why = "ended", self.world.refusals[key.partition("/")[0]]
                 elif task is not None and task.state != "ended":
                     continue  # simplification: one attempt per task; a real worker reports in_use
                 elif self.world.free_slots(self, spec) < 1:
--- a/simulation/world.py
+++ b/simulation/world.py
@@ -10,6 +10,8 @@
 import json
 import random
 from collections import Counter
+from dataclasses import dataclass
+from typing import Any
 from unittest import mock
 
 from simulation.cloud import Cloud
@@ -23,6 +25,17 @@
 CLOUD = ("cloud", 1)
 
 
+@dataclass
+class DelayedCommands:
+    """Direct commands that arrive late; they are executed if their token and session still match."""
+
+    when: float
+    machine: str
+    path: str
+    body: dict[str, Any]
+    is_copy: bool  # of commands that were executed before
+
+
 class World:
     """A simulated cluster; `log` records user requests, their answers, and task starts and ends for the checker."""
 
@@ -72,8 +85,11 @@
         self.mute = {}  # machine -> until: commands reach it and are answered, but its reports don't arrive
         self.copies = []  # rules for duplicating reports, see Copies
         self.delayed_reports = []  # duplicates to deliver: (when, controller, report)
-        self.repeats = []  # direct commands are delivered a second time: (until, delay in seconds)
-        self.delayed_commands = []  # direct commands to deliver: (when, machine, path, body)
+        # (until, delay in seconds): a copy of each executed direct command arrives later; several rows, several copies
+        self.repeats = []
+        self.delayed_commands: list[DelayedCommands] = []
+        self.refusals = {}  # job -> cause with which workers refuse the first start of each of its tasks
+        self.refused_tasks = set()
         self.failure_random = random.Random(seed + 1)  # separate, so that failures of messages don't shift other draws
         self.late_reports = []  # (until, share): reports are delivered again, from 2 s to 1.8 leases later
         self.late_writes = []  # (until, share): transactions time out and are executed 2 to 12 s later
@@ -165,7 +181,7 @@
                 raise version.unreachable("no such host")
             if self.now < self.deaf.get(worker.name, -1.0):
                 raise version.no_answer("response lost")
-            side, zone, target = "workers", worker.zone, lambda: worker.direct(method, path, body)
+            side, zone, target = "workers", worker.zone, lambda: self.execute_direct(worker, method, path, body)
         if side == "state":
             self.inject_store_failure(node, version, method, path, body)
         cut = self.cut_between(node, side, zone)
@@ -175,7 +191,8 @@
                 raise version.no_answer("cut")
             raise version.unreachable("cut")
         if side == "workers" and method == "POST" and self.should_inject(self.held_up):
-            self.delayed_commands.append((self.now + self.failure_random.uniform(2.0, 12.0), worker.name, path, body))
+            when = self.now + self.failure_random.uniform(2.0, 12.0)
+            self.delayed_commands.append(DelayedCommands(when, worker.name, path, body, is_copy=False))
             raise version.no_answer("command delayed")
         if side == "state":
             self.during_store_request(node, method, path, body, False)
@@ -186,11 +203,18 @@
                 raise version.no_answer("request executed, response lost")
         if answer is None:
             raise version.no_answer("hangs")
-        if side == "workers" and method == "POST":  # executed, and not held by a cut
+        return answer[0], json.loads(json.dumps(answer[1]))
+
+    def execute_direct(self, worker, method, path, body):
+        """Deliver a direct request to a worker for the first time; copies of commands may arrive later."""
+        answer = worker.direct(method, path, body)
+        if answer is not None and method == "POST":
             self.delayed_commands += [
-                (self.now + late_s, worker.name, path, body) for until, late_s in self.repeats if self.now < until
+                DelayedCommands(self.now + late_s, worker.name, path, body, is_copy=True)
+                for until, late_s in self.repeats
+                if self.now < until
             ]
-        return answer[0], json.loads(json.dumps(answer[1]))
+        return answer
 
     def inject_store_failure(self, node, version, method, path, body):
         """Inject failures of requests to the key-value store other than cuts; raise if the request gets no response."""
@@ -267,10 +291,15 @@
                 (self.now, node, report) for report in self.retained_reports for node in self.nodes
             ]
             self.retained_reports.clear()
-        for row in [row for row in self.delayed_commands if row[0] <= self.now]:
+        for row in [row for row in self.delayed_commands if row.when <= self.now]:
+            worker = self.workers.get(row.machine)
+            if worker is not None and self.now < worker.hung_until:
+                continue  # executed when the machine goes on
             self.delayed_commands.remove(row)
-            if row[1] in self.workers:
-                self.workers[row[1]].direct("POST", row[2], row[3])
+            if worker is not None and row.is_copy:
+                worker.direct("POST", row.path, row.body)
+            elif worker is not None:
+                self.execute_direct(worker, "POST", row.path, row.body)
         due = [row for row in self.delayed_reports if row[0] <= self.now]
         self.delayed_reports = [row for row in self.delayed_reports if row[0] > self.now]
         for _, node, report in due:
@@ -292,6 +321,13 @@
                 if self.should_inject(self.cancelled_at_end):
                     self.cancel(job)
 
+    def refuses_start(self, key):
+        """Whether a worker refuses this start of a task; the next one isn't refused."""
+        if key.partition("/")[0] not in self.refusals or key in self.refused_tasks:
+            return False
+        self.refused_tasks.add(key)
+        return True
+
     def holder(self, zone):
         row = self.state.items.get(f"tidebend/live/block/{zone}.0")
         return row[0]["holder"] if row else self.nodes[0]
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -578,9 +578,12 @@
         ("a", 0, 1): TaskReport("a", 0, 1, "ended", "stopped", False),
         ("a", 1, 1): TaskReport("a", 1, 1, "ended", "stopped", False),
         ("a", 2, 1): TaskReport("a", 2, 1, "ended", "done", False),
-    }  # a task that is done would only end again
-    assert {(c.op, c.index) for c in commands_for(machine, [], 5, True)} == {("forget", 1), ("forget", 2)}
+    }
+    assert {(c.op, c.index) for c in commands_for(machine, [], 5, True)} == {("forget", 1)}
     assert machine.forgetting_deferred_since is not None
+    assert machine.deferred_forgets == 2
     machine.token = 6
-    assert ("forget", 0) in {(c.op, c.index) for c in commands_for(machine, [], 6, True)}
+    forgotten = {(c.op, c.index) for c in commands_for(machine, [], 6, True)}
+    assert forgotten == {("forget", 0), ("forget", 1), ("forget", 2)}
     assert machine.forgetting_deferred_since is None
+    assert machine.deferred_forgets == 0
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -4,7 +4,7 @@
 
 from simulation.__main__ import main
 from simulation.checker import forgotten
-from simulation.search import FAULTS, TROUBLE_COMBINATIONS, play, play_with
+from simulation.search import FAULTS, REPEAT_COMBINATIONS, TROUBLE_COMBINATIONS, play, play_with
 from tidebend.controller.api.job_api import JobApi, unavailable_reply
 
 
@@ -22,8 +22,9 @@
 REVEALING_WORLDS = {
     "staleness": (14, ("unread", "outage")),
     "late_transaction": (0, ("late writes", "crash")),
-    "late_report": (197, ()),
-    "lost_doubt": (51, ()),
+    "late_report": (416, ()),
+    "lost_doubt": (14, ()),
+    "done_forgotten_at_once": (4, ("repeats", "silence", "crash")),
     "unread_answer": (1, ("close looks",)),
     "freed_limit": (4, ("cancelled out of reach",)),
     "earlier_session": (43, ("old session",)),
@@ -45,6 +46,14 @@
         assert not result["breaches"], result
 
 
+@pytest.mark.parametrize("meeting", REPEAT_COMBINATIONS, ids=" + ".join)
+def test_copies_of_commands_minutes_late_keep_the_rules(meeting):
+    """Guards against `ran_twice`, `quota` and `ran_cancelled` by a start that was carried out and forgotten before."""
+    for seed in (1, 2):
+        result = play(seed, meeting)
+        assert not result["breaches"], result
+
+
 def test_the_search_names_a_commit_that_is_not_there(capsys):
     assert main(["search", "--worlds", "1", "--workers", "1", "--from", "nosuch"]) == 2
     assert "no commit nosuch" in capsys.readouterr().err
--- a/tests/test_uncertain_starts.py
+++ b/tests/test_uncertain_starts.py
@@ -6,8 +6,10 @@
 import pytest
 
 from tests.test_guards import allocate, spec, stale_controllers, started_world
+from tidebend.cluster_state.reconciliation import commands_for
+from tidebend.controller.records.uncertain_starts import MAX_KEPT_TASKS
 from tidebend.coordination import shard_of
-from tidebend.protocol import Report
+from tidebend.protocol import Report, TaskReport
 from tidebend.transport import NoAnswerError, UnreachableError
 
 JOB_ID = "req-000001"
@@ -159,3 +161,41 @@
     holder.controller.scheduling_loop.completions.collect()
     holder.controller.coordinator.holdings.refresh()
     assert holder.token > before
+
+
+def keep_done_tasks(holder, number):
+    """Let the machine list done tasks that were started directly with the present token."""
+    keys = [(f"req-{index:06d}", 0, 1) for index in range(100, 100 + number)]
+    for key in keys:
+        holder.machine.starts.record_direct_start(key, holder.machine.token, 0.0)
+        holder.machine.starts.resolve_direct_starts(key)
+    holder.heartbeat(tasks=tuple(TaskReport(*key, "ended", "done", False) for key in keys))
+    commands_for(holder.machine, [], holder.token, direct=False)
+
+
+def collect_after(holder, world, leases):
+    """Let a part of a worker's lease pass, and the controller compare allocations with reports."""
+    world.monotonic_now += leases * holder.controller.settings.lease_s
+    holder.controller.coordinator.renew_lease()
+    holder.controller.scheduling_loop.completions.collect()
+    holder.controller.coordinator.holdings.refresh()
+
+
+def test_a_machine_that_keeps_many_done_tasks_gets_a_new_token_before_its_reports_grow_too_long(world):
+    """Guards against reports of more than 64 KiB, while thousands of short tasks end on one machine."""
+    holder = Holder(world)
+    before = holder.token
+    holder.heartbeat(token=before)
+    keep_done_tasks(holder, MAX_KEPT_TASKS)
+    collect_after(holder, world, leases=0.6)
+    assert holder.token == before
+    keep_done_tasks(holder, MAX_KEPT_TASKS + 1)
+    collect_after(holder, world, leases=0.0)
+    raised = holder.token
+    assert raised > before
+    # no further token until the machine has confirmed this one
+    collect_after(holder, world, leases=0.6)
+    assert holder.token == raised
+    holder.heartbeat(token=raised, tasks=tuple(holder.machine.tasks.values()))
+    commands = commands_for(holder.machine, [], raised, direct=False)
+    assert len([command for command in commands if command.op == "forget"]) == MAX_KEPT_TASKS + 1
--- a/tidebend/cluster_state/machine.py
+++ b/tidebend/cluster_state/machine.py
@@ -38,6 +38,7 @@
     starts: StartTracker = field(default_factory=StartTracker)
     # since when there have been ended tasks that the worker can't be told to forget yet, see `can_forget`
     forgetting_deferred_since: float | None = None
+    deferred_forgets: int = 0  # number of these tasks
     stop_requests: dict[TaskKey, float] = field(default_factory=dict)  # task to be stopped -> grace period in seconds
     # cached image -> size in GB, least recently used first
     images: OrderedDict[str, float] = field(default_factory=OrderedDict)
@@ -108,12 +109,10 @@
         """Whether the worker may be told to forget an ended attempt, that is, whether it can't run again after that.
 
         A start has no effect while the worker knows the attempt, or once the worker has confirmed a higher fencing
-        token. A direct start that may be delivered a second time therefore defers forgetting, unless the task is
-        done: started again, it would end at once.
+        token. A direct start that may be delivered a second time therefore defers forgetting. That holds for done
+        tasks, too: started again, one occupies its machine until it exits.
         """
-        if not self.can_no_longer_start(key):
-            return False
-        return self.tasks[key].why == "done" or not self.starts.may_be_repeated(key, self.token)
+        return self.can_no_longer_start(key) and not self.starts.may_be_repeated(key, self.token)
 
     def record_image_use(self, image: str, gb: float, cache_gb: float) -> None:
         """Mark an image as most recently used, and evict the least recently used ones beyond `cache_gb`."""
--- a/tidebend/cluster_state/reconciliation.py
+++ b/tidebend/cluster_state/reconciliation.py
@@ -107,7 +107,7 @@
     Such a task isn't needed: either its end has been recorded, or it never had an allocation.
     """
     commands = []
-    deferred = False
+    deferred = 0
     for key, task in machine.tasks.items():
         if key in allocated:
             continue
@@ -117,6 +117,7 @@
             commands.append(Command("forget", *key))
             machine.starts.forget_start_in_answer(key)
         else:
-            deferred = True
+            deferred += 1
+    machine.deferred_forgets = deferred
     machine.forgetting_deferred_since = (machine.forgetting_deferred_since or now) if deferred else None
     return commands
--- a/tidebend/controller/records/uncertain_starts.py
+++ b/tidebend/controller/records/uncertain_starts.py
@@ -12,6 +12,11 @@
 # How long workers keep ended tasks that a repeated start command could run again, as a multiple of the worker lease.
 # After that a new token allows the workers to forget them.
 MAX_KEPT_LEASES = 8.0
+# Number of these tasks on one machine above which a new token is due earlier: a report may have 64 KiB, and each of
+# them takes some 80 bytes of it.
+MAX_KEPT_TASKS = 256
+# minimum time between tokens that are raised because of their number, as a multiple of the worker lease
+KEPT_TASKS_RAISE_LEASES = 0.5
 
 
 class UncertainStartResolver:
@@ -36,9 +41,14 @@
             with self._machine_registry.lock:
                 has_uncertain_starts = self._has_uncertain_starts(grant, now)
                 kept_too_long = grant_age_s > self._max_kept_s and self._keeps_ended_tasks_too_long(grant, now)
-            if kept_too_long or (has_uncertain_starts and grant_age_s > self._settings.report_s):
+                keeps_too_many = grant_age_s > self._min_raise_s and self._keeps_too_many_ended_tasks(grant)
+            if kept_too_long or keeps_too_many or (has_uncertain_starts and grant_age_s > self._settings.report_s):
                 self._coordinator.raise_fencing_token(grant)
 
+    @property
+    def _min_raise_s(self) -> float:
+        return KEPT_TASKS_RAISE_LEASES * self._settings.lease_s
+
     @property
     def _max_kept_s(self) -> float:
         return MAX_KEPT_LEASES * self._settings.lease_s
@@ -58,3 +68,10 @@
             machine.forgetting_deferred_since is not None and now - machine.forgetting_deferred_since > self._max_kept_s
             for machine in self._machines_in(grant)
         )
+
+    def _keeps_too_many_ended_tasks(self, grant: ShardGrant) -> bool:
+        """Whether a machine that has confirmed the present token lists too many ended tasks that it has to keep."""
+        return any(
+            machine.token >= grant.token and machine.deferred_forgets > MAX_KEPT_TASKS
+            for machine in self._machines_in(grant)
+        )
