Agent: don't start an attempt again that was carried out and forgotten, under the same token and session

What callers would see: a user's command runs in full a second time, after its job was called done, or after its cancellation for as long as it likes.

The agent knew an attempt only while it was listed in its reports. After "forget" a late copy of the direct start, with the same token and session, made a new task.

Forgotten attempts whose start came by a direct command under the present token are remembered until a higher token comes or the session ends: copies with lower tokens or of former sessions are rejected anyway. At most 10,000 are remembered; beyond that attempts aren't forgotten but stay in the reports until a higher token comes. Nothing of it is stored: an agent that was killed begins another session, which rejects the copy. Starts in answers to heartbeats are never late, and the same attempt under a higher token is a new command, as for a gang's task that is started again.

--- a/tests/test_agent.py
+++ b/tests/test_agent.py
@@ -159,6 +159,88 @@
     agent.wait_until(lambda: len(read_pids(log)) == 2)
 
 
+def run_and_forget(agent, log):
+    """Run a task to its end by direct commands under token 1, and let the agent forget it."""
+    agent.direct(Command("start", JOB, 0, 1))
+    agent.describe()
+    agent.wait_for_state(0, "ended", "done")
+    agent.direct(Command("forget", JOB, 0, 1))
+    assert agent.states() == {}
+    assert len(read_pids(log)) == 1
+
+
+def test_a_late_copy_of_a_start_that_was_carried_out_and_forgotten_runs_nothing(start_agent, tmp_path):
+    """Guards against running a user's command twice, also after its job was called done or cancelled."""
+    log = tmp_path / "log"
+    agent = start_agent(**{"1": shell_task(f"echo $$ >> {log}")})
+    start = Command("start", JOB, 0, 1)
+    run_and_forget(agent, log)
+    for _ in range(3):
+        agent.direct(start)
+        agent.describe()
+        assert agent.states() == {}
+    agent.answer(token=2)
+    with pytest.raises(StaleCommandError):
+        agent.direct(start, token=1)
+    # the same attempt under a higher token is a new command, as for a gang's task that is started again
+    agent.direct(start, token=2)
+    agent.describe()
+    agent.wait_for_state(0, "ended", "done")
+    assert len(read_pids(log)) == 2
+
+
+def test_a_start_in_an_answer_that_a_direct_command_repeated_is_remembered(start_agent, tmp_path):
+    """Guards against a late copy of the direct command."""
+    log = tmp_path / "log"
+    agent = start_agent(**{"1": shell_task(f"echo $$ >> {log}; sleep 0.2")})
+    agent.start(0)
+    agent.direct(Command("start", JOB, 0, 1))
+    agent.wait_for_state(0, "ended", "done")
+    agent.direct(Command("forget", JOB, 0, 1), Command("start", JOB, 0, 1))
+    agent.describe()
+    assert agent.states() == {}
+    assert len(read_pids(log)) == 1
+
+
+def test_a_late_copy_of_a_start_runs_nothing_after_the_agent_was_killed(start_agent, tmp_path):
+    """Guards against running a user's command twice: what was forgotten isn't durable, but the session changes."""
+    directory, log = tmp_path / "agent", tmp_path / "log"
+    script = (
+        f"import sys, time; sys.path.insert(0, {str(Path.cwd())!r}); from pathlib import Path\n"
+        "from tests.test_agent import AgentHarness, run_and_forget, shell_task\n"
+        f"log = Path({str(log)!r})\n"
+        f"agent = AgentHarness(Path({str(directory)!r}), **{{'1': shell_task('echo $$ >> {log}')}})\n"
+        "run_and_forget(agent, log)\nprint(agent.session, flush=True)\ntime.sleep(60)"
+    )
+    killed = subprocess.Popen([sys.executable, "-c", script], stdout=subprocess.PIPE)
+    session = int(killed.stdout.readline())
+    killed.kill()
+    killed.wait()
+    agent = start_agent(directory=directory, **{"1": shell_task(f"echo $$ >> {log}")})
+    with pytest.raises(StaleCommandError):
+        agent.direct(Command("start", JOB, 0, 1), session=session)
+    agent.describe()
+    assert agent.states() == {}
+    assert len(read_pids(log)) == 1
+
+
+def test_beyond_the_bound_on_remembered_attempts_none_is_forgotten(start_agent, tmp_path, monkeypatch):
+    """Guards against a late copy that starts an attempt which the agent remembered no longer."""
+    monkeypatch.setattr("tidebend.agent.worker.MAX_FORGOTTEN_ATTEMPTS", 1)
+    agent = start_agent(**{"1": shell_task("true", tasks=2)})
+    starts = [Command("start", JOB, index, 1) for index in range(2)]
+    forgets = [Command("forget", JOB, index, 1) for index in range(2)]
+    agent.direct(*starts)
+    agent.describe()
+    agent.wait_until(lambda: set(agent.states().values()) == {("ended", "done")})
+    agent.direct(*forgets)
+    agent.direct(*starts)
+    agent.describe()
+    assert agent.states() == {"1": ("ended", "done")}
+    agent.answer(*forgets, token=2)
+    assert agent.states() == {}
+
+
 def test_a_lower_token_or_another_session_is_not_obeyed(start_agent, tmp_path):
     agent = start_agent(**{"1": shell_task("sleep 60")})
     start = Command("start", JOB, 0, 1)
--- a/tidebend/agent/tasks.py
+++ b/tidebend/agent/tasks.py
@@ -40,6 +40,9 @@
     finished: bool = False  # a gang's task that has succeeded and waits for the others; reported as running until then
     process: TaskProcess | None = None  # while its processes exist
     output_directory: Path | None = None  # None until its first process is started
+    direct_token: int | None = (
+        None  # highest fencing token of the direct commands with its start; None: no such command
+    )
 
     @property
     def name(self) -> str:
--- a/tidebend/agent/worker.py
+++ b/tidebend/agent/worker.py
@@ -50,6 +50,9 @@
 SESSION_RETRY_S = 0.5
 CALL_TIMEOUT_S = 5.0
 MAX_QUEUED_CALLS = 1024
+# Number of forgotten attempts, started directly under the present token, that are remembered. Beyond that, attempts are
+# not forgotten until a higher token comes.
+MAX_FORGOTTEN_ATTEMPTS = 10_000
 
 Result = TypeVar("Result")
 
@@ -107,6 +110,9 @@
         self._lease_end = 0.0
         self._token_reported_at = 0.0
         self._tasks: dict[tuple[str, int, int], Task] = {}  # by job, index and attempt
+        # Attempts that direct commands with the present token started in this session, and that have been forgotten
+        # since: late copies of these commands must not start them again. Those with lower tokens are rejected.
+        self._forgotten: set[tuple[str, int, int]] = set()
         self._descriptions: dict[str, Description] = {}
         self._calls: queue.Queue[tuple[Callable[[], Any], Future]] = queue.Queue(MAX_QUEUED_CALLS)
         self._selector = selectors.DefaultSelector()
@@ -229,6 +235,7 @@
         self._task_runner.end_all()
         self._image_preparer.forget_all()
         self._tasks.clear()
+        self._forgotten.clear()
         self._descriptions.clear()
 
     # Reports
@@ -258,7 +265,7 @@
             return False
         self._learn_token(answer.token)
         self._lease_end = max(self._lease_end, sent_at + self.config.lease_s)
-        self._execute(answer.commands)
+        self._execute(answer.commands, direct=False)
         return True
 
     def execute_direct(self, direct: DirectCommands) -> dict[str, Any]:
@@ -269,7 +276,7 @@
         if direct.token < self.token or direct.session != self.session:
             raise StaleCommandError
         self._learn_token(direct.token)
-        self._execute(direct.commands)
+        self._execute(direct.commands, direct=True)
         return self._report_body()
 
     def _learn_token(self, token: int) -> None:
@@ -279,6 +286,7 @@
             token=str(token)
         )  # durable first, so that lower tokens stay rejected after a restart
         self.token = token
+        self._forgotten.clear()
         now = monotonic_time()
         if now - self._token_reported_at > TOKEN_REPORT_INTERVAL_LEASES * self.config.lease_s:
             self._token_reported_at = now
@@ -286,11 +294,11 @@
 
     # Commands
 
-    def _execute(self, commands: list[Command]) -> None:
+    def _execute(self, commands: list[Command], direct: bool) -> None:
         to_start: list[Task] = []
         for command in commands:
             if command.op == "start":
-                task = self._new_task(command)
+                task = self._new_task(command, direct)
                 if task is not None:
                     to_start.append(task)
                 continue
@@ -304,16 +312,22 @@
             self._image_preparer.cancel_unwanted(self._tasks.values())
             self._on_change()
 
-    def _new_task(self, command: Command) -> Task | None:
+    def _new_task(self, command: Command, direct: bool) -> Task | None:
         """Return the task for a start command; None if the command is refused or repeated."""
         key = (command.job, command.index, command.attempt)
-        if key in self._tasks:
+        known = self._tasks.get(key)
+        if known is not None:
+            if direct:
+                known.direct_token = self.token
+            return None
+        if direct and key in self._forgotten:
+            log.info("task %s/%d, attempt %d: a late copy of its start was ignored", *key)
             return None
         in_use = any(
             (other.job, other.index) == (command.job, command.index) and other.state != ENDED
             for other in self._tasks.values()
         )
-        task = self._tasks[key] = Task(*key)
+        task = self._tasks[key] = Task(*key, direct_token=self.token if direct else None)
         if in_use:
             task.end("in_use")
             return None
@@ -327,8 +341,17 @@
         if command.op == "stop":
             self._stop(task, command.grace_s)
         elif task.state == ENDED:
-            del self._tasks[key]
-            self._forget_description(task.job)
+            self._forget(task)
+
+    def _forget(self, task: Task) -> None:
+        """Remove an ended attempt from the reports, but remember it while a late copy of its start may still come."""
+        key = (task.job, task.index, task.attempt)
+        if task.direct_token == self.token:
+            if len(self._forgotten) >= MAX_FORGOTTEN_ATTEMPTS:
+                return
+            self._forgotten.add(key)
+        del self._tasks[key]
+        self._forget_description(task.job)
 
     def _forget_description(self, job: str) -> None:
         """Remove a job's description once none of its tasks is left."""
