Simulation: a machine that hangs executes the direct commands that reached it once it goes on

The protocol has it so; the simulation dropped them, so that a start whose request had timed out at a hanging machine was never executed late.

--- a/simulation/world.py
+++ b/simulation/world.py
@@ -208,6 +208,9 @@
     def execute_direct(self, worker, method, path, body):
         """Deliver a direct request to a worker for the first time; copies of commands may arrive later."""
         answer = worker.direct(method, path, body)
+        if answer is None and method == "POST" and self.now < worker.hung_until:
+            # executed when the machine goes on, after the caller has timed out
+            self.delayed_commands.append(DelayedCommands(worker.hung_until, worker.name, path, body, is_copy=False))
         if answer is not None and method == "POST":
             self.delayed_commands += [
                 DelayedCommands(self.now + late_s, worker.name, path, body, is_copy=True)
