--- a/tests/test_cancelled_in_failovers.py
+++ b/tests/test_cancelled_in_failovers.py
@@ -13,22 +13,12 @@
 from simulation.checker import breaches, contradicted
 from simulation.versions import production
 from simulation.world import NEW, World
+from tests.test_guards import TYPES
 from tests.test_scenarios import JOB
 
 ZONES = ["north", "south", "west"]
 TEAM = {"name": "team", "cpus": 40.0, "cpus_max": 200.0, "gpus": 0.0, "gpus_max": 0.0}
-BOX = {
-    "name": "box",
-    "vcpus": 8.0,
-    "accelerators": 0.0,
-    "memoryGb": 32.0,
-    "localGb": 50.0,
-    "fetchGbPerS": 1.0,
-    "price": 1.0,
-    "spotPrice": 0.4,
-    "startupS": 10.0,
-    "harbors": ZONES,
-}
+BOX = {**TYPES[0], "harbors": ZONES}
 JOBS = {
     "array": {"pieces": 3, "vcpus": 1.0},
     "one": {"pieces": 1, "vcpus": 1.0},
--- a/tests/test_late_copies_of_starts.py
+++ b/tests/test_late_copies_of_starts.py
@@ -12,21 +12,11 @@
 
 from simulation.checker import breaches
 from simulation.world import World
+from tests.test_guards import TYPES
 from tests.test_scenarios import JOB
 
 ZONES = ["north", "south", "west"]
-BOX = {
-    "name": "box",
-    "vcpus": 8.0,
-    "accelerators": 0.0,
-    "memoryGb": 32.0,
-    "localGb": 50.0,
-    "fetchGbPerS": 1.0,
-    "price": 1.0,
-    "spotPrice": 0.4,
-    "startupS": 10.0,
-    "harbors": ZONES,
-}
+BOX = {**TYPES[0], "harbors": ZONES}
 MACHINES = 6
 TASKS = 2
 SERVICE = {"shape": "service", "rank": "critical", "reckonS": 0.0, "driftwood": False}
