Simulation: lay out former versions once, for several processes at a time

A version is now extracted beside its place and renamed into it, and never touched again; a process that comes second uses what is there. The directory is named by the full hash, so that a name which moves can't find old sources, and is a new one, since the former may hold half-written files.

--- a/simulation/versions.py
+++ b/simulation/versions.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tarfile
+import tempfile
 import tomllib
 from dataclasses import dataclass
 from functools import cache
@@ -18,6 +19,7 @@
 from simulation.former_driver import FormerControllerDriver, former_controller, former_failures
 
 ROOT = Path(__file__).resolve().parents[1]
+SOURCES = ROOT / "target" / "version-sources"  # a directory for each commit
 
 
 @dataclass(frozen=True)
@@ -86,16 +88,51 @@
 @cache
 def at(commit: str) -> Version | None:
     """Return the package as it was at a commit; None if the local history doesn't have it."""
-    done = subprocess.run(["git", "-C", str(ROOT), "archive", commit, "tidebend"], capture_output=True, check=False)
-    if done.returncode:
+    full = _git("rev-parse", "--verify", "--quiet", f"{commit}^{{commit}}")
+    if full is None:
         return None
-    where = ROOT / "target" / "versions" / commit
-    with tarfile.open(fileobj=io.BytesIO(done.stdout)) as archive:
-        archive.extractall(where, filter="data")
+    where = _lay_out(full.decode().strip())
+    return None if where is None else _import_from(where)
+
+
+def _git(*arguments: str) -> bytes | None:
+    """Return what a git command prints; None if it fails."""
+    done = subprocess.run(["git", "-C", str(ROOT), *arguments], capture_output=True, check=False)
+    return None if done.returncode else done.stdout
+
+
+def _lay_out(commit: str) -> Path | None:
+    """Return the directory with the package as it was at a commit; None if the local history doesn't have it.
+
+    `commit`: the full hash. A directory is complete once it exists and doesn't change afterwards, since other processes
+    may lay out the same commit or import from it at the same time.
+    """
+    where = SOURCES / commit
+    if where.exists():
+        return where
+    archived = _git("archive", commit, "tidebend")
+    if archived is None:
+        return None
+    SOURCES.mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory(dir=SOURCES, prefix="incomplete-") as incomplete:
+        extracted = Path(incomplete) / commit
+        with tarfile.open(fileobj=io.BytesIO(archived)) as archive:
+            archive.extractall(extracted, filter="data")
+        try:
+            extracted.rename(where)
+        except OSError:
+            if not where.exists():  # otherwise another process was faster
+                raise
+    return where
+
+
+def _import_from(where: Path) -> Version:
+    """Import the package from a directory without replacing the modules that are imported already."""
     ours = _loaded()
     for name in ours:
         del sys.modules[name]
     sys.path.insert(0, str(where))
+    importlib.invalidate_caches()
     try:
         return current()
     finally:
