--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -72,3 +72,14 @@
 def pytest_terminal_summary(terminalreporter, config):
     for entry in config.known_red.values():
         terminalreporter.write_line(f"KNOWN RED {entry.test}: {entry.cause} (issue {entry.issue})")
+
+
+@pytest.fixture(scope="session")
+def former():
+    """The version in production."""
+    from simulation.versions import production  # not at the top: this file also runs without the simulation
+
+    found = production()
+    if found is None:
+        pytest.skip("the version in production isn't in the history at hand")
+    return found
--- a/tests/test_cancelled_in_failovers.py
+++ b/tests/test_cancelled_in_failovers.py
@@ -31,14 +31,6 @@
 SEEDS = (1, 2, 3)
 
 
-@pytest.fixture(scope="module")
-def former():
-    found = production()
-    if found is None:
-        pytest.skip("the version in production isn't in the history at hand")
-    return found
-
-
 def run_s(world, seconds):
     until = world.now + seconds
     while world.now < until:
--- a/tests/test_final_states.py
+++ b/tests/test_final_states.py
@@ -15,7 +15,7 @@
 
 from simulation.checker import breaches, contradicted
 from simulation.search import play as play_search
-from simulation.versions import at, production
+from simulation.versions import at
 from simulation.world import NEW, World
 from tests.test_guards import TYPES, started_world
 from tests.test_scenarios import JOB
@@ -112,14 +112,6 @@
     return {name for name, job in world.jobs.items() if world.done_tasks.get(name) == job["pieces"]}
 
 
-@pytest.fixture(scope="module")
-def former():
-    found = production()
-    if found is None:
-        pytest.skip("the version in production isn't in the history at hand")
-    return found
-
-
 @pytest.mark.parametrize("seed", [1, 2, 3])
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
 def test_what_this_version_confirms_as_cancelled_is_never_made_done_by_the_version_in_production(former, fault, seed):
