Search: say which processes sent, answered or recorded what broke a rule

Now commands, answers and changes of the key-value store carry the process that sent them, also when they are executed late or once more, and for each break the processes involved are named; the summary counts the worlds with today's version among them apart.

What breaks a rule by tasks on machines are the tasks that no record allows, if there are any: a task that is restarted by the records isn't at fault for the late copy of an earlier attempt.

--- a/simulation/__main__.py
+++ b/simulation/__main__.py
@@ -9,7 +9,7 @@
 import statistics
 import sys
 from collections.abc import Iterable
-from dataclasses import asdict, fields
+from dataclasses import asdict, dataclass, fields
 from pathlib import Path
 
 from rich.console import Console
@@ -179,26 +179,59 @@
     return root
 
 
+@dataclass
+class SearchSummary:
+    """Counts of the worlds of a search."""
+
+    broken: int = 0
+    broken_by_current: int = 0  # a process of the current version was involved in one of the breaches
+    unfinished: int = 0
+    contradicted: int = 0
+
+    def add(self, result: dict) -> None:
+        """Count a world."""
+        self.broken += bool(result["breaches"])
+        self.broken_by_current += any(result["by_current"])
+        self.unfinished += bool(result["unfinished"])
+        self.contradicted += bool(result["contradicted_new"])
+
+    def print(self, worlds: int) -> None:
+        """Print the counts."""
+        print(f"{worlds} worlds: a rule broken in {self.broken}, accepted jobs unfinished in {self.unfinished}")
+        print(f"of these, broken by processes of the former version alone: {self.broken - self.broken_by_current}")
+        print(f"the current version sent, answered or recorded what broke a rule in {self.broken_by_current}")
+        print(f"a final state reported by a controller of the current version was contradicted in {self.contradicted}")
+
+
+def print_broken_world(result: dict) -> None:
+    """Print a world's troubles, and the breaches in which the current version was involved before the others."""
+    breaches = sorted(
+        zip(result["breaches"], result["by_current"], result["involved"], strict=True), key=lambda row: not row[1]
+    )
+    breach, by_current, involved = breaches[0]
+    versions = "current version involved" if by_current else "former version only"
+    print(f"BROKEN: seed {result['seed']}: {'; '.join(result['troubles'])}: {breach} ({versions})")
+    for text in involved:
+        print(f"  {text}")
+
+
 def search(arguments: argparse.Namespace) -> int:
-    broken = unfinished = contradicted = 0
+    summary = SearchSummary()
     seeds = range(arguments.first, arguments.first + arguments.worlds)
     with Progress(console=Console(stderr=True, quiet=arguments.json)) as bar:
         task = bar.add_task("worlds", total=len(seeds))
         for result in search_worlds(seeds, arguments.fault, arguments.workers, arguments.former):
             bar.advance(task)
-            broken += bool(result["breaches"])
-            contradicted += bool(result["contradicted_new"])
-            unfinished += bool(result["unfinished"])
+            summary.add(result)
             if result["breaches"] and arguments.json:
                 print(json.dumps(result))
             elif result["breaches"]:
-                print(f"BROKEN: seed {result['seed']}: {'; '.join(result['troubles'])}: {result['breaches'][0]}")
+                print_broken_world(result)
             elif result["unfinished"] and not arguments.json:
                 print(f"unfinished: seed {result['seed']}: {'; '.join(result['troubles'])}: {result['unfinished']}")
     if not arguments.json:
-        print(f"{len(seeds)} worlds: a rule broken in {broken}, accepted jobs unfinished in {unfinished}")
-        print(f"a final state reported by a controller of the current version was contradicted later in {contradicted}")
-    return BROKEN if broken else 0
+        summary.print(len(seeds))
+    return BROKEN if summary.broken else 0
 
 
 def model(arguments: argparse.Namespace) -> int:
--- a/simulation/checker.py
+++ b/simulation/checker.py
@@ -2,9 +2,26 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 FINAL_STATES = ("done", "withdrawn")
 
 
+class FoundBreach(NamedTuple):
+    """A violated invariant, with what reveals it."""
+
+    rule: str
+    at: float  # virtual time in seconds
+    text: str
+    place: int | None = None  # index of the log's row that reveals it; None if it follows from the end of the world
+    subject: str = ""  # the task, job or team
+
+    @property
+    def row(self):
+        """The breach as it is reported: (rule, time, text)."""
+        return self.rule, self.at, self.text
+
+
 def contradicts(final, said_at, state, began):
     """Whether an answer contradicts an earlier final answer, which is at index `said_at` of the log.
 
@@ -15,6 +32,11 @@
 
 def breaches(log, jobs, teams, cancel_s, completed_at=None):
     """Return every violated invariant as (rule, time, text)."""
+    return [breach.row for breach in find_breaches(log, jobs, teams, cancel_s, completed_at)]
+
+
+def find_breaches(log, jobs, teams, cancel_s, completed_at=None):
+    """Return every violated invariant as a FoundBreach."""
     found = []
     running_on = {}  # task -> {machine: zone}
     cancelled, first_asked, final_states, accepted = {}, {}, {}, {}
@@ -35,12 +57,15 @@
                     left.append(other)
         return found
 
-    def check_overdue(now):
+    def report(rule, text, subject):
+        found.append(FoundBreach(rule, now, text, place, subject))
+
+    def check_overdue():
         while overdue and now > overdue[0][0]:
             _, job = overdue.pop(0)
             if any(zone_counts.get(job, {}).values()) and job not in ran_after_cancel:
                 ran_after_cancel.add(job)
-                found.append(("ran_cancelled", now, f"tasks of {job} are still on machines"))
+                report("ran_cancelled", f"tasks of {job} are still on machines", job)
 
     must_be_refused = {}  # jobs that must be rejected -> expected status
     final_at = {}  # job -> log index of its first final answer
@@ -48,15 +73,15 @@
 
     for place, row in enumerate(log):
         now, what = row[0], row[1]
-        check_overdue(now)
+        check_overdue()
         if what == "on":
             _, _, task, _, machine, zone, kind, spot = row
             job = task.partition("/")[0]
             spec = jobs[job]
             if running_on.get(task):
-                found.append(("ran_twice", now, f"{task} on {sorted(running_on[task])} and {machine}"))
+                report("ran_twice", f"{task} on {sorted(running_on[task])} and {machine}", task)
             if job in cancelled and now > cancelled[job] + cancel_s:
-                found.append(("ran_cancelled", now, f"{task} starts after cancellation"))
+                report("ran_cancelled", f"{task} starts after cancellation", task)
             zones = zone_counts.setdefault(job, {})
             zones[zone] = zones.get(zone, 0) + 1
             wrong = (
@@ -67,19 +92,19 @@
                 or (spec["spread"] and zones[zone] > (spec["pieces"] + 1) // 2)
             )
             if wrong:
-                found.append(("wrong_place", now, f"{task} on {machine} ({kind}, {zone}, spot {spot})"))
+                report("wrong_place", f"{task} on {machine} ({kind}, {zone}, spot {spot})", task)
             for other in spec.get("awaits") or ():
                 missing = [
                     n for n in range(jobs[other]["pieces"]) if (completed_at or {}).get(f"{other}/{n}", 1e18) > now
                 ]
                 if missing:
-                    found.append(("too_early", now, f"{task} starts before tasks {missing[:3]} of {other}"))
+                    report("too_early", f"{task} starts before tasks {missing[:3]} of {other}", task)
             running_on.setdefault(task, {})[machine] = zone
             used = usage[spec["crew"]]
             used[0] += spec["vcpus"]
             used[1] += spec["accelerators"]
             if used[0] > limits[spec["crew"]][0] + 1e-6 or used[1] > limits[spec["crew"]][1] + 1e-6:
-                found.append(("quota", now, f"{spec['crew']} uses {used}"))
+                report("quota", f"{spec['crew']} uses {used}", spec["crew"])
         elif what == "off":
             _, _, task, _, machine, *_ = row
             zone = running_on.get(task, {}).pop(machine, None)
@@ -97,20 +122,20 @@
             # Log index at which the request was sent: its answer needn't reflect answers given while it was in flight.
             began = row[6] if len(row) > 6 else place
             if job in must_be_refused and action == "submit" and status in (200, 201):
-                found.append(("accepted_unfit", now, f"{job}: {status}, expected {must_be_refused[job]}"))
+                report("accepted_unfit", f"{job}: {status}, expected {must_be_refused[job]}", job)
             if status in (200, 201) and ("submit", job) not in first_asked:
-                found.append(("invented", now, f"{job} was never submitted"))
+                report("invented", f"{job} was never submitted", job)
             refused = status == 404 or (action == "submit" and status in (400, 422))
             if refused and job in accepted and accepted_at[job] < began:
-                found.append(("forgotten", now, f"{job}: {status}"))
+                report("forgotten", f"{job}: {status}", job)
             if status in (200, 201):
                 accepted.setdefault(job, now)
                 accepted_at.setdefault(job, place)
                 if job in final_states and contradicts(final_states[job], final_at[job], state, began):
-                    found.append(("went_back", now, f"{job}: {final_states[job]}, then {state}"))
+                    report("went_back", f"{job}: {final_states[job]}, then {state}", job)
                 if state == "withdrawn":
                     if not any(("cancel", other) in first_asked for other in {job, *prerequisites(job)}):
-                        found.append(("went_back", now, f"{job} is cancelled without a request"))
+                        report("went_back", f"{job} is cancelled without a request", job)
                     if job not in cancelled:
                         cancelled[job] = now
                         overdue.append((now + cancel_s, job))
@@ -120,16 +145,16 @@
                     and any(now > cancelled.get(other, 1e18) + cancel_s for other in prerequisites(job))
                 ):
                     orphans.add(job)
-                    found.append(("orphaned", now, f"{job} is still reported as {state}"))
+                    report("orphaned", f"{job} is still reported as {state}", job)
                 if state == "done" and job in jobs and completed_at is not None:
                     missing = [n for n in range(jobs[job]["pieces"]) if completed_at.get(f"{job}/{n}", 1e18) > now]
                     if missing:
-                        found.append(("not_done", now, f"{job} is done without tasks {missing[:3]}"))
+                        report("not_done", f"{job} is done without tasks {missing[:3]}", job)
                 if state in FINAL_STATES:
                     final_states.setdefault(job, state)
                     final_at.setdefault(job, place)
     if not any(row[1] == "on" for row in log):
-        found.append(("nothing_ran", log[-1][0] if log else 0.0, "no task was started"))
+        found.append(FoundBreach("nothing_ran", log[-1][0] if log else 0.0, "no task was started"))
     return found
 
 
@@ -167,6 +192,11 @@
 
 
 def all_breaches(world, starvation, over_at=None):
+    """Return all violations of a simulation as (rule, time, text); see `all_found_breaches`."""
+    return [breach.row for breach in all_found_breaches(world, starvation, over_at)]
+
+
+def all_found_breaches(world, starvation, over_at=None):
     """Return all violations of a simulation, after asking every controller about every accepted job once more.
 
     `over_at`: when the injected failures ended; by default when `starvation` last saw one active.
@@ -178,13 +208,11 @@
         for node in world.nodes
         if (status := world.user("poll", name, node)[0]) != 200
     ]
-    found = breaches(world.log, world.jobs, world.teams, world.cancel_s, world.completed)
-    return (
-        found
-        + forgotten(world.log, starvation.calm_from if over_at is None else over_at)
-        + unknown
-        + starvation.breaches
+    at_the_end = (
+        forgotten(world.log, starvation.calm_from if over_at is None else over_at) + unknown + starvation.breaches
     )
+    found = find_breaches(world.log, world.jobs, world.teams, world.cancel_s, world.completed)
+    return found + [FoundBreach(*row) for row in at_the_end]
 
 
 def starts_after_cancellation(log):
--- a/simulation/search.py
+++ b/simulation/search.py
@@ -15,7 +15,8 @@
 from functools import partial
 from unittest import mock
 
-from simulation.checker import StarvationDetector, all_breaches, contradicted, starts_after_cancellation
+from simulation.attribution import attribute
+from simulation.checker import StarvationDetector, all_found_breaches, contradicted, starts_after_cancellation
 from simulation.links import Cut
 from simulation.play import cut_zone
 from simulation.versions import Version, version_at
@@ -445,6 +446,9 @@
 def play(seed: int, combination: tuple[str, ...] = (), former: Version | None = None) -> dict:
     """Run one seed's world and return its troubles with their times, the broken rules and the unfinished jobs.
 
+    For each broken rule, `by_current` says whether a process of the current version sent, answered or recorded what
+    broke it, and `involved` which processes did; see `simulation.attribution`.
+
     `combination`: the troubles to inject; random if empty. `former`: the version that the controllers start with; they
     are upgraded during the troubles while many jobs are cancelled as they end, and no job depends on another.
     """
@@ -512,14 +516,16 @@
             world.step()
             if world.ticks % 10 == 0:
                 starvation.check()
-        breaches = all_breaches(world, starvation, troubles_end)
+        breaches = attribute(world, all_found_breaches(world, starvation, troubles_end))
     accepted = {row[3] for row in world.log if row[1] == "told" and row[4] in (200, 201)}
     ended = {name for name, (_, state) in world.answers.items() if state in ("done", "withdrawn")}
     unfinished = [name for name in sorted(accepted) if name not in ended and _can_complete(name, world.jobs)]
     return {
         "seed": seed,
         "troubles": events,
-        "breaches": [list(row) for row in breaches],
+        "breaches": [list(row.breach.row) for row in breaches],
+        "by_current": [row.by_current for row in breaches],
+        "involved": [[str(involvement) for involvement in row.involved] for row in breaches],
         "contradicted": sorted(contradicted(world.log)),
         "contradicted_new": sorted(contradicted(world.log, by_new_only=True)),
         "unfinished": unfinished,
--- a/simulation/state.py
+++ b/simulation/state.py
@@ -45,6 +45,7 @@
     def append_change(self, row):
         self.changes.append(row)
         self.change_revisions.append(self.revision)
+        self.world.provenance.note_write(self.world.now, row.get("put") or row["delete"], row.get("v"))
 
     def write(self, key, value, lease):
         if value is None:
--- a/simulation/workers.py
+++ b/simulation/workers.py
@@ -4,6 +4,8 @@
 
 from dataclasses import dataclass
 
+from simulation.provenance import HEARTBEAT_ANSWER, Source
+
 
 @dataclass
 class Task:
@@ -35,7 +37,7 @@
         self.hung_until = -1.0
         self.sick_until = -1.0
         self.last_reported = None
-        self.delayed_answer = None  # a delayed response to a report: (when, sent, session, body)
+        self.delayed_answer = None  # a delayed response to a report: (when, sent, session, body, source)
 
     def event(self, what, key, task):
         self.world.log.append((self.world.now, what, key, task.attempt, self.name, self.zone, self.kind, self.spot))
@@ -122,9 +124,9 @@
         if self.delayed_answer is not None:
             if now < self.delayed_answer[0]:
                 return  # at most one report is in flight
-            (_, sent, session, body), self.delayed_answer = self.delayed_answer, None
+            (_, sent, session, body, source), self.delayed_answer = self.delayed_answer, None
             if session == self.session:
-                self.apply_answer(body, sent)
+                self.apply_answer(body, sent, source)
         if now >= self.next_report:
             self.last_reported = (state, self.notice, self.token)
             self.report()
@@ -153,6 +155,7 @@
 
     def report(self):
         now = self.world.now
+        source = Source(self.world.process(self.node), now, HEARTBEAT_ANSWER)
         self.next_report = now + self.world.report_s * self.world.random.uniform(0.75, 1.25)
         answer = self.world.to_controller(self.name, self.node, "POST", "/v1/report", self.body())
         if answer is None:
@@ -161,9 +164,10 @@
             self.node = self.world.next_node(self.node)
         elif answer[0] == 200:
             if self.world.should_inject(self.world.held_up):
-                self.delayed_answer = now + self.world.failure_random.uniform(0.5, 3.9), now, self.session, answer[1]
+                when = now + self.world.failure_random.uniform(0.5, 3.9)
+                self.delayed_answer = when, now, self.session, answer[1], source
             else:
-                self.apply_answer(answer[1], now)
+                self.apply_answer(answer[1], now, source)
         else:
             to = answer[1].get("harbormaster") if answer[0] == 421 else None
             if to in self.world.nodes and to != self.node:
@@ -171,11 +175,12 @@
             else:
                 self.node, self.next_report = self.world.next_node(self.node), now + 1.0
 
-    def apply_answer(self, body, sent):
+    def apply_answer(self, body, sent, source):
         if body.get("helm", -1) >= self.token:
             self.token = body["helm"]
             self.last_contact = sent
-            self.execute(body["orders"])
+            with self.world.provenance.carrying_out(source):
+                self.execute(body["orders"])
 
     def execute(self, commands):
         for command in commands:
@@ -184,6 +189,7 @@
             if command["order"] == "start":
                 if (task is not None and task.attempt == attempt) or (key, attempt) in self.superseded:
                     continue
+                self.world.provenance.note_start(self.world.now, self.name, key, attempt, self.token)
                 spec = self.world.jobs.get(key.partition("/")[0])
                 made = Task(attempt, "fetching", self.world.now, self.world.now)
                 if spec is None:
@@ -201,9 +207,11 @@
                 self.tasks[key] = made
             elif (key, attempt) in self.superseded:
                 if command["order"] == "clear":
+                    self.world.provenance.note_forgotten(self.world.now, self.name, key, attempt)
                     del self.superseded[key, attempt]
             elif task is not None and task.attempt == attempt:
                 if command["order"] == "clear" and task.state == "ended":
+                    self.world.provenance.note_forgotten(self.world.now, self.name, key, attempt)
                     del self.tasks[key]
                 elif command["order"] == "kill" and task.state != "ended":
                     spec = self.world.jobs[key.partition("/")[0]]
--- a/simulation/world.py
+++ b/simulation/world.py
@@ -16,6 +16,7 @@
 
 from simulation.cloud import Cloud
 from simulation.links import Link
+from simulation.provenance import DIRECT, LATE_COPY, LATE_DIRECT, Process, Provenance, Source
 from simulation.state import KeyValueStore
 from simulation.versions import Version, current
 
@@ -33,6 +34,7 @@
     machine: str
     path: str
     body: dict[str, Any]
+    source: Source | None
     is_copy: bool  # of commands that were executed before
 
 
@@ -64,6 +66,7 @@
         self.random = random.Random(seed)
         self.now = 100.0
         self.log = []
+        self.provenance = Provenance()
         self.jobs, self.completed = {}, {}
         self.done_tasks, self.last_done = {}, {}  # job -> number of done tasks, and when the last one was done
         self.kinds = {kind["name"]: kind for kind in types}
@@ -170,7 +173,16 @@
             None,
         )
 
+    def process(self, node):
+        """Return the process that a controller's name stands for at present."""
+        return Process(node, self.versions[node] is NEW)
+
     def from_controller(self, node, version, address, method, path, body):
+        """Deliver a controller's request, and attribute what it does to the controller, however late it is executed."""
+        with self.provenance.carrying_out(Source(Process(node, version is NEW), self.now, DIRECT)):
+            return self._from_controller(node, version, address, method, path, body)
+
+    def _from_controller(self, node, version, address, method, path, body):
         if address == STATE:
             side, zone, target = "state", None, lambda: self.state.call(node, method, path, body)
         elif address == CLOUD:
@@ -187,12 +199,13 @@
         cut = self.cut_between(node, side, zone)
         if cut is not None:
             if cut.hold and method == "POST":
-                cut.held.append(target)  # executed when the cut ends, after the caller has timed out
+                cut.held.append(self._executed_late(target))  # when the cut ends, after the caller has timed out
                 raise version.no_answer("cut")
             raise version.unreachable("cut")
         if side == "workers" and method == "POST" and self.should_inject(self.held_up):
             when = self.now + self.failure_random.uniform(2.0, 12.0)
-            self.delayed_commands.append(DelayedCommands(when, worker.name, path, body, is_copy=False))
+            late = self.provenance.late(LATE_DIRECT)
+            self.delayed_commands.append(DelayedCommands(when, worker.name, path, body, late, is_copy=False))
             raise version.no_answer("command delayed")
         if side == "state":
             self.during_store_request(node, method, path, body, False)
@@ -205,15 +218,30 @@
             raise version.no_answer("hangs")
         return answer[0], json.loads(json.dumps(answer[1]))
 
+    def _executed_late(self, request):
+        """Return a request that is attributed to the controller which sends it now, whenever it is executed."""
+        late = self.provenance.late(LATE_DIRECT)
+
+        def execute():
+            with self.provenance.carrying_out(late):
+                return request()
+
+        return execute
+
     def execute_direct(self, worker, method, path, body):
         """Deliver a direct request to a worker for the first time; copies of commands may arrive later."""
         answer = worker.direct(method, path, body)
         if answer is None and method == "POST" and self.now < worker.hung_until:
             # executed when the machine goes on, after the caller has timed out
-            self.delayed_commands.append(DelayedCommands(worker.hung_until, worker.name, path, body, is_copy=False))
+            late = self.provenance.late(LATE_DIRECT)
+            self.delayed_commands.append(
+                DelayedCommands(worker.hung_until, worker.name, path, body, late, is_copy=False)
+            )
         if answer is not None and method == "POST":
             self.delayed_commands += [
-                DelayedCommands(self.now + late_s, worker.name, path, body, is_copy=True)
+                DelayedCommands(
+                    self.now + late_s, worker.name, path, body, self.provenance.late(LATE_COPY), is_copy=True
+                )
                 for until, late_s in self.repeats
                 if self.now < until
             ]
@@ -227,7 +255,7 @@
             if (rows is self.slow or path == "/multi") and self.should_inject(rows):
                 if method == "POST":
                     when = self.now + self.failure_random.uniform(least, most)
-                    self.delayed_transactions.append((when, node, path, body))
+                    self.delayed_transactions.append((when, node, path, body, self.provenance.late(LATE_DIRECT)))
                 raise version.no_answer("request timed out")
 
     def should_inject(self, rows):
@@ -241,7 +269,8 @@
             return
         for row in [row for row in self.delayed_transactions if row[0] <= self.now]:
             self.delayed_transactions.remove(row)
-            self.state.call(None, "POST", row[2], row[3])
+            with self.provenance.carrying_out(row[4]):
+                self.state.call(None, "POST", row[2], row[3])
 
     def to_controller(self, machine, node, method, path, body):
         """Deliver a request to a controller; return (status, body), or None if there is no response."""
@@ -299,10 +328,11 @@
             if worker is not None and self.now < worker.hung_until:
                 continue  # executed when the machine goes on
             self.delayed_commands.remove(row)
-            if worker is not None and row.is_copy:
-                worker.direct("POST", row.path, row.body)
-            elif worker is not None:
-                self.execute_direct(worker, "POST", row.path, row.body)
+            with self.provenance.carrying_out(row.source):
+                if worker is not None and row.is_copy:
+                    worker.direct("POST", row.path, row.body)
+                elif worker is not None:
+                    self.execute_direct(worker, "POST", row.path, row.body)
         due = [row for row in self.delayed_reports if row[0] <= self.now]
         self.delayed_reports = [row for row in self.delayed_reports if row[0] > self.now]
         for _, node, report in due:
@@ -511,6 +541,7 @@
     def upgrade(self, node, downtime_s):
         self.crash(node, downtime_s)
         self.versions[node] = NEW
+        self.provenance.upgraded_at[node] = self.now
 
     def crash(self, node, downtime_s):
         self.controllers[node] = None
