One function says what a job's final state is

All of them call final_state_of now; JobState.complete, which invited another such condition, is gone.

Behaviour is the same but for one moment: if a job is cancelled between JobApi's two look-ups of it, and all its tasks are done, the answer is its state from before instead of done.

--- a/tests/test_final_states.py
+++ b/tests/test_final_states.py
@@ -20,6 +20,7 @@
 from tests.test_guards import TYPES, started_world
 from tests.test_scenarios import JOB
 from tidebend.cluster_state.allocations import Allocation
+from tidebend.cluster_state.final_states import CANCELLED, DONE, final_state_of
 from tidebend.cluster_state.job_records import JOB_PREFIX, Job
 from tidebend.controller.records.cancellation_sealer import CancellationSealer
 from tidebend.coordination.schema_version import SCHEMA_VERSION_KEY
@@ -186,6 +187,15 @@
         assert after["v"] == {**record, "done": "2"}
 
 
+@pytest.mark.parametrize("cancelled", [False, True])
+@pytest.mark.parametrize(("done", "also_done"), [(0, 0), (1, 0), (1, 2), (3, 0), (3, 3)])
+def test_a_cancelled_job_is_cancelled_whatever_is_done_and_another_one_done_once_all_tasks_are(
+    cancelled, done, also_done
+):
+    job = Job("req-a", 1, parse_job({**JOB, "pieces": 2}), 0.0, cancelled=cancelled, done=done)
+    assert final_state_of(job, also_done) == (CANCELLED if cancelled else DONE if done | also_done == 3 else None)
+
+
 CHUNKED_JOB_TASKS = 200
 # form -> (job, maximum size of a record in bytes, probability of a cancellation at each step near the job's end)
 RECORD_FORMS = {
--- a/tidebend/cluster_state/final_states.py
+++ b/tidebend/cluster_state/final_states.py
@@ -4,6 +4,8 @@
 
 from typing import Any, NamedTuple
 
+from tidebend.cluster_state.job_state import JobState
+
 DONE = "done"
 CANCELLED = "cancelled"
 # the time in records of schema version 1, which don't contain when the job ended
@@ -17,6 +19,17 @@
     at: float  # wall clock in seconds, or `UNKNOWN_TIME`
 
 
+def final_state_of(job: JobState, also_done: int = 0) -> str | None:
+    """Return the final state of a job by its records, `DONE` or `CANCELLED`; None if it is still open.
+
+    A cancelled job stays cancelled even if all its tasks are done: users were told so once that was recorded.
+    `also_done`: bitmap of tasks whose completion isn't recorded yet.
+    """
+    if job.cancelled:
+        return CANCELLED
+    return DONE if job.done | also_done == job.all_tasks else None
+
+
 def unpack_final(value: Any) -> FinalState:
     """Parse a final record of either schema version: a state, or a mapping with the state and its time."""
     if isinstance(value, str):
--- a/tidebend/cluster_state/job_cache.py
+++ b/tidebend/cluster_state/job_cache.py
@@ -11,7 +11,7 @@
 from tidebend.cluster_state.allocation_index import AllocationIndex
 from tidebend.cluster_state.allocations import Allocation
 from tidebend.cluster_state.dependency_graph import DependencyGraph
-from tidebend.cluster_state.final_states import CANCELLED, DONE, UNKNOWN_TIME, FinalState, unpack_final
+from tidebend.cluster_state.final_states import CANCELLED, DONE, UNKNOWN_TIME, FinalState, final_state_of, unpack_final
 from tidebend.cluster_state.job_records import HEAD_PREFIX, JOB_PREFIX, Job
 from tidebend.cluster_state.record_chunks import CHUNK_PREFIX, Chunk
 from tidebend.kvclient import FINAL
@@ -75,7 +75,10 @@
     def _check_final(self, job_id: str, value: Any, version: int) -> None:
         """Log an error if a job's final record contradicts its cancellation, which may have been confirmed to users."""
         job = self.jobs.get(job_id)
-        was_cancelled = job.cancelled if job else version == self._removed_at and job_id in self._removed_cancelled
+        if job is None:
+            was_cancelled = version == self._removed_at and job_id in self._removed_cancelled
+        else:
+            was_cancelled = final_state_of(job) == CANCELLED
         if was_cancelled and unpack_final(value).state == DONE:
             log.error("job %s: recorded as done at revision %d although it was cancelled before", job_id, version)
 
@@ -84,7 +87,7 @@
         if version != self._removed_at:
             self._removed_at = version
             self._removed_cancelled.clear()
-        if job.cancelled:
+        if final_state_of(job) == CANCELLED:
             self._removed_cancelled.add(job.id)
 
     def _change_head(self, job_id: str, key: str, value: Any, version: int) -> None:
@@ -128,7 +131,7 @@
         final = self._dependencies.final_state(job_id)
         if final is None:
             job = self.jobs.get(job_id)
-            if job is not None and job.cancelled:
+            if job is not None and final_state_of(job) == CANCELLED:
                 return FinalState(CANCELLED, UNKNOWN_TIME)
         return final
 
--- a/tidebend/cluster_state/job_state.py
+++ b/tidebend/cluster_state/job_state.py
@@ -59,11 +59,6 @@
         """The time since when tasks may start: that of the submission, or when the last dependency was done."""
         return self.submitted if self.dependencies_done_at is None else self.dependencies_done_at
 
-    @property
-    def complete(self) -> bool:
-        """Whether all tasks are done."""
-        return self.done == self.all_tasks
-
     @property
     def allocated_count(self) -> int:
         """The number of allocated tasks."""
--- a/tidebend/controller/api/job_api.py
+++ b/tidebend/controller/api/job_api.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from tidebend import protocol
-from tidebend.cluster_state.final_states import unpack_final
+from tidebend.cluster_state.final_states import DONE, final_state_of, unpack_final
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import HEAD_PREFIX, JOB_PREFIX, Job
 from tidebend.controller.api.recent_jobs import RecentJobs
@@ -185,7 +185,7 @@
             # the job may have ended between the two lookups
             final = self._job_cache.final_state(job_id)
             return None if final is None else Reply(200, protocol.job_answer(job_id, final))
-        if job.complete:
+        if final_state_of(job) == DONE:
             return Reply(200, protocol.job_answer(job.id, "done", job.spec.tasks, 0))
         running = job.allocated_count
         state = "running" if running else "queued"
@@ -288,7 +288,7 @@
 
 def _cancelled_unless_done(job: Job, _: TeamUsage) -> Job | None:
     """Return the cancelled job; None if it was done before."""
-    return None if job.complete and not job.cancelled else job.with_cancellation()
+    return None if final_state_of(job) == DONE else job.with_cancellation()
 
 
 def _no_such_job() -> Reply:
--- a/tidebend/controller/records/completion_recorder.py
+++ b/tidebend/controller/records/completion_recorder.py
@@ -7,6 +7,7 @@
 from functools import partial
 from typing import NamedTuple
 
+from tidebend.cluster_state.final_states import final_state_of
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import Job
 from tidebend.controller.records.job_writer import JobEdit, JobWriter
@@ -108,7 +109,7 @@
             completions.done
             and not job.chunks
             and not self._job_writer.record_limits.fits(new)
-            and not (new.complete or new.cancelled)
+            and final_state_of(new) is None
         ):
             # The indexes of done tasks may be too scattered to fit into the record. Tasks that aren't recorded as done
             # are started again and are done at once, since the platform keeps their results.
@@ -136,7 +137,7 @@
 
     def _are_last_of_job(self, job: Job, completions: UnrecordedCompletions) -> bool:
         """Whether no task of the job remains in this controller's shards once these completions are recorded."""
-        if job.cancelled or job.done | completions.done == job.all_tasks:
+        if final_state_of(job, completions.done) is not None:
             return True
         held_shards = {grant.shard for grant in self._coordinator.grants()}
         return not job.pending and not any(
--- a/tidebend/controller/records/completion_tracker.py
+++ b/tidebend/controller/records/completion_tracker.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from tidebend.cluster_state.allocations import Allocation
+from tidebend.cluster_state.final_states import final_state_of
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import Job
 from tidebend.cluster_state.keys import TaskKey
@@ -100,7 +101,7 @@
         for job in self.job_cache.live_jobs():
             if job.cancelled:
                 machines_to_stop.update(allocation.machine for allocation in job.allocations)
-            if is_leader and not job.allocations and (job.cancelled or job.complete):
+            if is_leader and not job.allocations and final_state_of(job) is not None:
                 found.setdefault(job.id, UnrecordedCompletions())
         return machines_to_stop
 
--- a/tidebend/controller/records/final_transactions.py
+++ b/tidebend/controller/records/final_transactions.py
@@ -5,7 +5,7 @@
 import time
 from dataclasses import replace
 
-from tidebend.cluster_state.final_states import CANCELLED, DONE, pack_final
+from tidebend.cluster_state.final_states import final_state_of, pack_final
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import Job
 from tidebend.controller.records.job_transaction import JobTransaction, chunk_key, chunk_versions, delete, put
@@ -31,9 +31,11 @@
     def build(self, job: Job, new: Job, usage: TeamUsage) -> JobTransaction | None:
         """Return the next transaction of an ended job; None while some of its chunks aren't in the cache.
 
-        A cancelled job stays cancelled, even if all its tasks are done. If the job has more chunks than one transaction
-        can delete, the transaction deletes the first of them and keeps the job.
+        If the job has more chunks than one transaction can delete, the transaction deletes the first of them and keeps
+        the job.
         """
+        state = final_state_of(new)
+        assert state is not None, "the job hasn't ended"
         versions = chunk_versions(self._job_cache, job)
         if job.chunks and job.chunks.missing_records:
             return None
@@ -41,7 +43,6 @@
             numbers = list(versions)[: self._record_limits.max_writes - 1]
             return self._delete_chunks(job, new, {number: versions[number] for number in numbers}, usage)
         keys = [chunk_key(job.id, number) for number in versions]
-        state = CANCELLED if new.cancelled else DONE
         final = pack_final(state, time.time(), not self._schema_version.supports_pipelines)
         return JobTransaction(
             new,
--- a/tidebend/controller/records/job_writer.py
+++ b/tidebend/controller/records/job_writer.py
@@ -5,7 +5,7 @@
 import logging
 from dataclasses import dataclass, field
 
-from tidebend.cluster_state.final_states import CANCELLED, DONE
+from tidebend.cluster_state.final_states import final_state_of
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import Job
 from tidebend.controller.quota.quota_rebalancing import QuotaRebalancer
@@ -56,11 +56,10 @@
     """Log the jobs that a transaction has ended, with the version of the record on which that was based."""
     for job_id, job in batch.jobs.items():
         if FINAL + job_id in batch.writes:
-            state = CANCELLED if job.cancelled else DONE
             done = job.done.bit_count()
             log.info(
                 "job %s: %s at revision %d, by its record of revision %d; %d of %d tasks done",
-                *(job_id, state, revision, job.version, done, job.spec.tasks),
+                *(job_id, final_state_of(job), revision, job.version, done, job.spec.tasks),
             )
 
 
--- a/tidebend/controller/records/transaction_builder.py
+++ b/tidebend/controller/records/transaction_builder.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from tidebend.cluster_state.final_states import final_state_of
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import Job
 from tidebend.controller.records.chunked_transactions import ChunkedTransactionBuilder
@@ -27,7 +28,7 @@
         `usage` is the team's usage before the change. Raises `RecordTooLargeError` if `new` doesn't fit into the job's
         single record, or would leave no room there for later completions.
         """
-        if not new.allocations and (new.cancelled or new.complete):
+        if not new.allocations and final_state_of(new) is not None:
             return self._final_transactions.build(job, new, usage)
         if new == job:
             return None
