Log cancellations of another version when they are read, and when they are sealed

Between the two, a process of the former version may record the job as done; how long that takes could not be told from the logs.

--- a/tidebend/cluster_state/job_cache.py
+++ b/tidebend/cluster_state/job_cache.py
@@ -100,6 +100,8 @@
         else:
             self._heads[job_id] = Job.unpack(job_id, value, version)
         new = self._heads.get(job_id)
+        if new is not None and new.needs_sealing and (old is None or not old.needs_sealing):
+            log.info("job %s: cancelled at revision %d by another version, not sealed yet", job_id, version)
         old_dependencies = old.dependencies if old else ()
         new_dependencies = new.dependencies if new else ()
         if old_dependencies != new_dependencies:
--- a/tidebend/controller/records/cancellation_sealer.py
+++ b/tidebend/controller/records/cancellation_sealer.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+import logging
+
 from tidebend.cluster_state.job_cache import JobCache
 from tidebend.cluster_state.job_records import Job
 from tidebend.controller.records.job_writer import JobEdit, JobWriter
 from tidebend.kvclient import NotExecutedError
 from tidebend.quota import TeamUsage
 
+log = logging.getLogger("records")
+
 # how long to retry a write on which the answer to a poll depends: users wait 2 s for the answer
 POLL_WRITE_RETRY_S = 1.0
 # how long to retry a write by a mapping event; the next mapping event tries again
@@ -48,7 +52,9 @@
             self._write(unsealed, MAPPING_EVENT_WRITE_RETRY_S)
 
     def _write(self, job_ids: list[str], retry_for_s: float) -> None:
-        self._job_writer.write_edits([JobEdit(job_id, _with_sealed_cancellation) for job_id in job_ids], retry_for_s)
+        edits = [JobEdit(job_id, _with_sealed_cancellation) for job_id in job_ids]
+        for job_id, job in self._job_writer.write_edits(edits, retry_for_s).items():
+            log.info("job %s: cancellation sealed, by its record of revision %d", job_id, job.version)
 
     def _needs_sealing(self, job_id: str) -> bool:
         job = self._job_cache.get(job_id)
