Seal cancellations of the former version in a thread of their own, ahead of claims

Cause: a check that waits behind others. Sealing was a step of the mapping event; a mapping event waits for the store's rate, up to a second for each of its writes, and the seal itself had the priority of claims. The log shows it: 'mapping event aborted: over budget' between the line that a cancellation is not sealed yet and the one that the job was recorded as done.

Change: a thread, woken by the change that the watch brings, writes the seals. They have a kind of request of their own, which may use the part of the budget that claims must leave over. The jobs come first that may be recorded as done soonest. In the simulation the driver seals after each read.

Why it works: from the read on, the seal waits for nothing but the store's rate; the former version's holder first has to hear of the end.

--- a/simulation/drivers.py
+++ b/simulation/drivers.py
@@ -35,6 +35,10 @@
         """Read the changes since the last read from the key-value store."""
         self._cache.catch_up(0.0, "claim")
 
+    def seal_cancellations(self) -> None:
+        """Seal the cancellations that controllers of another version have recorded."""
+        self.controller.cancellation_sealer.seal_all()
+
     def note_watch(self, steady: float) -> None:
         """Record the monotonic time at which the watch last got a response."""
         self._cache.watched = steady
--- a/simulation/former_driver.py
+++ b/simulation/former_driver.py
@@ -38,6 +38,9 @@
         waits_s = getattr(self._cache, "watch_s", None) or self._cache._watch_s
         return waits_s + self.controller.state.timeout
 
+    def seal_cancellations(self) -> None:
+        """Do nothing: this version doesn't seal cancellations."""
+
     def note_watch(self, steady: float) -> None:
         self._cache.watched = steady
 
--- a/simulation/world.py
+++ b/simulation/world.py
@@ -565,6 +565,7 @@
             if self.now >= self.hung_watch.get(node, -1.0):
                 self._run_suppressed(quiet, driver.catch_up)
                 driver.note_watch(self.monotonic_now)
+            self._run_suppressed(quiet, driver.seal_cancellations)
             driver.maintain_shards()
         if turn % 3 == 0 and driver.is_loaded:
             self._run_suppressed(quiet, driver.mapping_event)
--- a/tests/test_final_states.py
+++ b/tests/test_final_states.py
@@ -8,6 +8,7 @@
 import contextlib
 import random
 import re
+import threading
 from dataclasses import replace
 from unittest import mock
 
@@ -22,7 +23,9 @@
 from tidebend.cluster_state.allocations import Allocation
 from tidebend.cluster_state.final_states import CANCELLED, DONE, final_state_of
 from tidebend.cluster_state.job_records import JOB_PREFIX, Job
+from tidebend.cluster_state.task_bitmap import format_ranges
 from tidebend.controller.records.cancellation_sealer import CancellationSealer
+from tidebend.controller.scheduler.scheduling_loop import SchedulingLoop
 from tidebend.coordination.schema_version import SCHEMA_VERSION_KEY
 from tidebend.kvclient import NotExecutedError, OutcomeUnknownError
 from tidebend.protocol import parse_job
@@ -137,8 +140,14 @@
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
-def test_a_cancellation_that_production_confirmed_is_sealed_on_sight_while_the_holder_stands_still(former, seed):
+@pytest.mark.parametrize("are_mapping_events_held_up", [False, True])
+def test_a_cancellation_that_production_confirmed_is_sealed_on_sight_while_the_holder_stands_still(
+    former, seed, are_mapping_events_held_up, monkeypatch
+):
+    """Guards against seals that come after the job's end, since a mapping event waits for the store's rate."""
     world = mixed_version_world(seed, former)
+    if are_mapping_events_held_up:
+        monkeypatch.setattr(SchedulingLoop, "mapping_event", lambda self: None)
     with world.clock():
         for _ in range(100):
             world.step()
@@ -196,6 +205,65 @@
     assert final_state_of(job, also_done) == (CANCELLED if cancelled else DONE if done | also_done == 3 else None)
 
 
+def cancelled_record(tasks, done, allocated):
+    """Return a cancelled job's record as the production version writes it; `done`, `allocated`: bitmaps."""
+    allocations = (Allocation("vm-000000", 1, 1, allocated, 0.0, "north"),) if allocated else ()
+    job = Job("req", 0, parse_job({**JOB, "pieces": tasks}), 0.0, cancelled=True, done=done, allocations=allocations)
+    return {**job.pack(), "done": format_ranges(done)}
+
+
+def test_the_cancellations_that_may_be_recorded_as_done_soonest_are_sealed_first():
+    records = {
+        "req-not-started": cancelled_record(2, 0, 0),
+        "req-three-left": cancelled_record(4, 1, 14),
+        "req-one-waits": cancelled_record(2, 0, 1),
+        "req-one-left": cancelled_record(4, 7, 8),
+        "req-two-left": cancelled_record(2, 0, 3),
+    }
+    for world in started_world():
+        writes = [{"put": JOB_PREFIX + name, "v": record} for name, record in records.items()]
+        world.state.transact({"if": [], "writes": writes})
+        controller = world.controllers["n0"]
+        controller.cache.catch_up(0.0, "claim")
+        with mock.patch.object(controller.job_writer, "write_edits", return_value={}) as write_edits:
+            controller.cancellation_sealer.seal_all()
+        edits = write_edits.call_args.args[0]
+        assert [edit.job_id for edit in edits][:3] == ["req-one-left", "req-two-left", "req-three-left"]
+        assert {edit.job_id for edit in edits} == records.keys()
+
+
+class FlakyJobs:
+    """Stands in for the job cache and the writer: sealing fails in several ways before it succeeds."""
+
+    writes_per_s = 1000.0
+
+    def __init__(self):
+        self.errors = [NotExecutedError("refused"), OutcomeUnknownError("no answer"), RuntimeError("a bug")]
+        self.is_sealed = threading.Event()
+        self.job = Job.unpack("req-a", cancelled_record(1, 0, 1), 1)
+
+    def has_unsealed_cancellations(self):
+        return not self.is_sealed.is_set()
+
+    def unsealed_cancellations(self):
+        return [self.job] if self.has_unsealed_cancellations() else []
+
+    def write_edits(self, edits, *_, **__):
+        if self.errors:
+            raise self.errors.pop()
+        self.is_sealed.set()
+        return {"req-a": self.job}
+
+
+def test_the_sealing_thread_goes_on_until_all_is_sealed_whatever_fails():
+    jobs = FlakyJobs()
+    sealer = CancellationSealer(jobs, jobs)
+    sealer.start()
+    sealer.wake_if_needed()
+    assert jobs.is_sealed.wait(10.0)
+    assert not jobs.errors
+
+
 CHUNKED_JOB_TASKS = 200
 # form -> (job, maximum size of a record in bytes, probability of a cancellation at each step near the job's end)
 RECORD_FORMS = {
--- a/tidebend/cluster_state/job_cache.py
+++ b/tidebend/cluster_state/job_cache.py
@@ -200,10 +200,15 @@
         with self.lock:
             return list(self.jobs.values())
 
-    def unsealed_cancellations(self) -> list[str]:
+    def unsealed_cancellations(self) -> list[Job]:
         """Return the cancelled jobs that controllers of schema version 1 may still record as done."""
         with self.lock:
-            return list(self._unsealed)
+            return [self.jobs[job_id] for job_id in self._unsealed]
+
+    def has_unsealed_cancellations(self) -> bool:
+        """Whether there are cancelled jobs that controllers of schema version 1 may still record as done."""
+        with self.lock:
+            return bool(self._unsealed)
 
     def final_state(self, job_id: str) -> str | None:
         """Return the job's final state, `done` or `cancelled`, or None.
--- a/tidebend/controller/controller.py
+++ b/tidebend/controller/controller.py
@@ -134,7 +134,6 @@
             self.job_cache,
             self.machine_registry,
             self.job_writer,
-            self.cancellation_sealer,
             self.quota_rebalancer,
             self._machine_types,
             self.command_dispatcher.send,
@@ -217,6 +216,7 @@
             log.info("schema version %d is in force", self.schema_version.version)
         if key.startswith((JOB_PREFIX, HEAD_PREFIX, CHUNK_PREFIX, FINAL)):
             self.scheduling_loop.wake()
+            self.cancellation_sealer.wake_if_needed()
         else:
             self.coordinator.wake.set()
 
@@ -240,6 +240,7 @@
         if self.settings.peers:
             self.zone_probe.start()
         self.scheduling_loop.start()
+        self.cancellation_sealer.start()
         self.autoscaler.start()
 
     def start(self) -> Server:
--- a/tidebend/controller/records/job_writer.py
+++ b/tidebend/controller/records/job_writer.py
@@ -21,6 +21,7 @@
     LeaseNotFoundError,
     NotExecutedError,
     OutcomeUnknownError,
+    RequestKind,
     TransactionTooLargeError,
     WatchCache,
 )
@@ -43,6 +44,7 @@
     deferred: list[JobEdit]  # each is written alone, after all the others
     failures_left: int
     max_writes: int
+    kind: RequestKind
     to_be_split: list[JobEdit] = field(default_factory=list)
     changed: dict[str, Job] = field(default_factory=dict)
 
@@ -94,21 +96,25 @@
         return self.write_edits([JobEdit(job_id, apply, conditions)], retry_for_s).get(job_id)
 
     def write_edits(
-        self, edits: list[JobEdit], retry_for_s: float = 1.0, max_failures: int = DEFAULT_MAX_FAILURES
+        self,
+        edits: list[JobEdit],
+        retry_for_s: float = 1.0,
+        max_failures: int = DEFAULT_MAX_FAILURES,
+        kind: RequestKind = RequestKind.CLAIM,
     ) -> dict[str, Job]:
         """Write edits, and return the changed jobs by id.
 
         An edit isn't written if there is nothing to write, if one of its own conditions fails, if its allocations
         exceed the team's quota, or if `max_failures` transactions have failed. A team's record is changed in the same
         transaction by exactly what its jobs' allocations add. Each write is retried for `retry_for_s`. Edits of jobs
-        whose transactions fail again and again come last.
+        whose transactions fail again and again come last. `kind`: the purpose of the writes.
 
         Raises `NotExecutedError` or `OutcomeUnknownError`; edits before the failed transaction may have been written.
         After `OutcomeUnknownError` the cache reflects a later read, unless that has failed too.
         """
         self.quota_rebalancer.settle_uncertain_writes(retry_for_s)
         first, deferred = self.failed_edits.split(edits)
-        progress = _Progress(first, deferred, max_failures, self.record_limits.max_writes)
+        progress = _Progress(first, deferred, max_failures, self.record_limits.max_writes, kind)
         while progress.failures_left:
             progress.take_deferred()
             if not progress.remaining:
@@ -123,7 +129,7 @@
 
     def _write_batch(self, batch: EditBatch, progress: _Progress, retry_for_s: float) -> None:
         try:
-            revision = self.cache.write(batch.conditions, list(batch.writes.values()), retry_for_s=retry_for_s)
+            revision = self.cache.write(batch.conditions, list(batch.writes.values()), progress.kind, retry_for_s)
         except ConflictError as conflict:
             self._retry_after_conflict(batch, progress, conflict)
         except TransactionTooLargeError:
@@ -184,4 +190,4 @@
                 log.error("job %s: its description exceeds the present size limit of a record", edit.job_id)
                 continue
             if is_split:
-                progress.changed.update(self.write_edits([edit], retry_for_s, progress.failures_left))
+                progress.changed.update(self.write_edits([edit], retry_for_s, progress.failures_left, progress.kind))
--- a/tidebend/controller/scheduler/scheduling_loop.py
+++ b/tidebend/controller/scheduler/scheduling_loop.py
@@ -17,7 +17,6 @@
 from tidebend.cluster_state.machine_registry import MachineRegistry
 from tidebend.controller.quota.quota_rebalancing import QuotaRebalancer
 from tidebend.controller.quota.quota_release import QuotaReleaser
-from tidebend.controller.records.cancellation_sealer import CancellationSealer
 from tidebend.controller.records.completion_tracker import CompletionTracker
 from tidebend.controller.records.job_writer import JobWriter
 from tidebend.controller.scheduler.allocator import Allocator
@@ -56,7 +55,6 @@
         job_cache: JobCache,
         machine_registry: MachineRegistry,
         job_writer: JobWriter,
-        cancellation_sealer: CancellationSealer,
         quota_rebalancer: QuotaRebalancer,
         machine_types: Callable[[], dict[str, MachineType]],
         send: Callable[[set[str]], None],
@@ -67,7 +65,6 @@
         self.settings = settings
         self.coordinator = coordinator
         self.job_cache = job_cache
-        self.cancellation_sealer = cancellation_sealer
         self.quota_rebalancer = quota_rebalancer
         self.send = send
         self.estimates = RunTimeEstimates()
@@ -124,7 +121,6 @@
         """
         self._resolve_missing_final_states()
         self.completions.collect()
-        self._seal_cancellations()
         if self.coordinator.term is not None:
             self.quota_rebalancer.establish_quotas()
         try:
@@ -135,10 +131,6 @@
         finally:
             self.completions.record_completions()
 
-    def _seal_cancellations(self) -> None:
-        with contextlib.suppress(NotExecutedError, OutcomeUnknownError):
-            self.cancellation_sealer.seal_all()
-
     def _resolve_missing_final_states(self) -> None:
         missing = self.job_cache.missing_final_states()
         if missing:
