--- a/simulation/attribution.py
+++ b/simulation/attribution.py
@@ -16,6 +16,9 @@
 from tidebend.cluster_state.job_records import HEAD_PREFIX, JOB_PREFIX, Job
 from tidebend.kvclient import FINAL
 
+# broken by tasks on machines; by final states that contradict others or the tasks
+RULES_OF_TASKS = ("ran_twice", "quota", "wrong_place", "ran_cancelled", "too_early")
+RULES_OF_FINAL_STATES = ("went_back", "not_done", "orphaned")
 SHARD_PREFIX = "tidebend/live/block/"
 # final states as the records name them, and as users are told
 STATE_TOLD = {"done": "done", "cancelled": "withdrawn"}
@@ -84,14 +87,15 @@
         """Yield what processes did that led to a breach; nothing if it follows from the end of the world."""
         if breach.place is None:
             return
-        if breach.rule in ("ran_twice", "quota", "wrong_place", "ran_cancelled", "too_early"):
+        if breach.rule in RULES_OF_TASKS:
             for run in self._runs_that_broke(breach):
                 yield from self._who_let_run(run, breach)
             if breach.rule == "ran_cancelled":
                 yield from self._who_held_back_stops(breach)
         else:
             yield from self._who_answered(breach)
-            yield from self._who_recorded_final_state(breach)
+            if breach.rule in RULES_OF_FINAL_STATES:
+                yield from self._who_recorded_final_state(breach)
 
     # Breaches by tasks on machines
 
--- a/tests/test_attribution.py
+++ b/tests/test_attribution.py
@@ -14,6 +14,7 @@
 from tests.test_scenarios import JOB
 from tidebend.cluster_state.allocations import Allocation
 from tidebend.cluster_state.job_records import JOB_PREFIX, Job
+from tidebend.kvclient import FINAL
 from tidebend.protocol import parse_job
 
 JOBS = {"req-a": {"id": "req-a", **JOB, "pieces": 4, "driftwood": False, "spread": True}}
@@ -104,6 +105,15 @@
     assert FakeWorld(log).judged()[rule].by_current == process.is_current
 
 
+@pytest.mark.parametrize("rule", ["forgotten", "went_back"])
+def test_whoever_recorded_a_final_state_is_involved_only_in_what_it_contradicts(rule):
+    log = [(*row, place, FORMER.node, False) if row[1] == "told" else row for place, row in enumerate(VIOLATIONS[rule])]
+    world = FakeWorld(log)
+    with world.provenance.carrying_out(Source(CURRENT, 1.5)):
+        world.provenance.note_write(1.5, FINAL + "req-a", "done")
+    assert world.judged()[rule].by_current == (rule == "went_back")
+
+
 def test_a_breach_of_which_nothing_tells_who_caused_it_counts_for_the_current_version():
     (row,) = attribute(FakeWorld([]), [FoundBreach("beside_room", 1.0, "req-a waits")])
     assert row.by_current
