--- a/tests/test_lost_answers.py
+++ b/tests/test_lost_answers.py
@@ -143,7 +143,8 @@
             assert len(controller.cache._tombstones) <= 20, len(controller.cache._tombstones)
             assert len(controller.scheduling_loop.claim_stagger._since) < 3
             assert len(controller.scheduling_loop.allocator.last_allocation) < 3
-            assert len(controller.autoscaler.cancelled_work._cancelled_since) < 3
+            assert len(controller.autoscaler.cancelled_work._cancellations) < 3
+            assert len(controller.autoscaler.cancelled_work._locations) < 3
             assert len(controller.scheduling_loop.completions.recorder._waiting_since) < 3
         late_starts_s = [after for _, after in starts_after_cancellation(world.log)]
         assert len(late_starts_s) <= 0.02 * asked, late_starts_s
