Simulation: the search's troubles and planted faults in modules of their own

What is injected stands in troubles.py, the planted bugs in planted_faults.py, the worlds and their judgement stay.

--- a/simulation/__main__.py
+++ b/simulation/__main__.py
@@ -18,8 +18,8 @@
 
 from simulation.experiment import read
 from simulation.model import FAULTS, Size, explore
+from simulation.planted_faults import FAULTS as SEARCH_FAULTS
 from simulation.plays import play_all
-from simulation.search import FAULTS as SEARCH_FAULTS
 from simulation.search import search as search_worlds
 from simulation.versions import VersionNotFoundError
 from tidebend.hcl import HclFileError
--- a/tests/test_search.py
+++ b/tests/test_search.py
@@ -4,7 +4,9 @@
 
 from simulation.__main__ import main
 from simulation.checker import forgotten
-from simulation.search import FAULTS, REPEAT_COMBINATIONS, TROUBLE_COMBINATIONS, play, play_with
+from simulation.planted_faults import FAULTS
+from simulation.search import play, play_with
+from simulation.troubles import REPEAT_COMBINATIONS, TROUBLE_COMBINATIONS
 from tidebend.controller.api.job_api import JobApi, unavailable_reply
 
 
