--- a/review/standin-2/cluster.py
+++ b/review/standin-2/cluster.py
@@ -47,6 +47,7 @@
         default_factory=lambda: {"rps": 60.0, "write_rps": 15.0, "value_kb": 8.0, "txn_ops": 12}
     )
     types: list[dict[str, Any]] = field(default_factory=lambda: [machine_type("ocho-nucleos", ZONES, 8.0, 0.0, 32.0)])
+    gpus_max: float = 0.0  # of each team; 0: none
     teams: tuple[str, ...] = ("equipo-tecnico-00", "equipo-tecnico-01")
 
     def settings(self, member: str, nodes: dict[str, tuple[str, str, str]], cloud: str, state: str) -> str:
@@ -60,7 +61,7 @@
         lines += ["[deployment]", f"size = {len(nodes)}", f"zones = {json.dumps(self.zones)}", "clock_off_ms = 100.0"]
         for team in self.teams:
             lines += ["[[deployment.teams]]", f'name = "{team}"', "cpus = 16.0", "cpus_max = 56.0"]
-            lines += ["gpus = 0.0", "gpus_max = 0.0"]
+            lines += ["gpus = 0.0", f"gpus_max = {self.gpus_max}"]
         for table, values in (("workers", self.times), ("state", self.state)):
             lines += [f"[deployment.{table}]", *(f"{key} = {value}" for key, value in values.items())]
         lines += ["[deployment.cloud]", f"rps = {self.cloud_rps}", f"list_lag_s = {self.list_lag_s}"]
