--- a/review/standin-2/http_stub.py
+++ b/review/standin-2/http_stub.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 import json
+import random
 import socket
 import threading
 from collections.abc import Callable
@@ -11,6 +13,9 @@
 from typing import Any
 
 LOOPBACK = "127.0.0.1"
+# the ports of which a free one is chosen for a controller
+SERVER_PORTS = (12_000, 32_000)
+_handed_out: set[int] = set()
 
 Answer = tuple[int, Any]
 # (method, path with query, decoded body) -> status and body
@@ -59,10 +64,15 @@
 
 
 def free_address() -> str:
-    """Return a loopback address whose port is free at the moment."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return f"{LOOPBACK}:{probe.getsockname()[1]}"
+    """Return a loopback address whose port is free, and below those that outgoing connections usually get."""
+    while True:
+        address = (LOOPBACK, random.randrange(*SERVER_PORTS))
+        if address[1] in _handed_out:
+            continue
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(address)
+            _handed_out.add(address[1])
+            return f"{address[0]}:{address[1]}"
 
 
 class Client:
